--- /dev/null
+++ b/decide/host.go
@@ -0,0 +1,155 @@
+// Package decide holds every decision of a wheelrill controller.
+//
+// This file holds its interface: what a controller asks of the place it runs in, and the plain types that
+// cross over. Nothing is decided here.
+package decide
+
+// Host is the place a Controller runs in. Orders given at one clock time leave as one message to each proxy
+// concerned. Backends, proxies, classes and zones are small indices; times are whole microseconds.
+type Host interface {
+	Now() int64
+	After(wait int64, tag uint64)
+	Log(line string)
+
+	// The list of backends, and a look at one of them.
+	Watch()
+	Probe(backend int)
+
+	// Tables, by number; a weight of 0 takes the line out. With slices a table is a slice.
+	SetLine(table, backend int, weight float64)
+	Bind(table, proxy int, classes uint16)
+	Withdraw(backend int, out bool)
+	Admit(table int, classes uint16, allowance float64, tries Tries)
+	// Mark asks for an Applied from each proxy that this clock time's orders reach, or from all joined ones.
+	Mark(number int, everyone bool)
+}
+
+// Condition is what the list says of a backend.
+type Condition uint8
+
+const (
+	Gone Condition = iota
+	Ready
+	Draining
+)
+
+// Entry is one line of the list. Started is 0 for a distant past.
+type Entry struct {
+	Backend   int
+	Condition Condition
+	Started   int64
+	Weight    float64
+	Zone      int
+	Kind      int
+	Cell      int
+}
+
+// Repeat tells whether an exchange may run again.
+type Repeat uint8
+
+const (
+	RepeatNever Repeat = iota
+	RepeatKeyed
+	RepeatSafe
+)
+
+// Group is the set of backends that drop a repeat of a keyed exchange.
+type Group uint8
+
+const (
+	GroupCell Group = iota
+	GroupZone
+	GroupAll
+)
+
+// Class is one class of exchanges.
+type Class struct {
+	Expected   int64
+	Outer      int64
+	Importance float64
+	Repeat     Repeat
+	Group      Group
+	Window     int64
+	Writes     bool
+	OwnZone    bool
+}
+
+// Tries is the manner in which proxies try again.
+type Tries uint8
+
+const (
+	TryOnce Tries = iota
+	TryAfterProof
+	TryAfterFailure
+	TryTwiceAfterFailure
+)
+
+// Admission is what a level means to the proxies.
+type Admission uint8
+
+const (
+	AdmitNone Admission = iota
+	AdmitShare
+	AdmitRate
+)
+
+// Outcome is how a probe ended.
+type Outcome uint8
+
+const (
+	Unknown Outcome = iota
+	Answered
+	Failed
+	Refused
+	TimedOut
+	Unreachable
+	Broken
+)
+
+// Load is what a backend said of itself; a figure it did not give is negative.
+type Load struct {
+	Busy    float64 // share of its cores at work
+	Held    float64 // exchanges in hand
+	Waiting float64 // exchanges not yet begun
+	Service float64 // recent service time without waiting, microseconds
+}
+
+// Channel is the way from a controller to its proxies.
+type Channel struct {
+	LinesPerS    float64
+	Head         float64
+	Backlog      float64
+	MeanWay      int64
+	LongestWay   int64
+	MessagesMost int
+	MessagesSpan int64
+}
+
+// Limits are the figures of the rules.
+type Limits struct {
+	Bare              int64
+	Grace             int64
+	ColdShare         float64
+	WarmBy            int64
+	FallMultiple      float64
+	FallSpan          int64
+	FullMayHaveRun    bool
+	OnlyDrainingBinds bool
+}
+
+// Partition says how keys fall into slices; Count is 0 where there are none.
+type Partition struct {
+	Count       int
+	SingleOwner bool
+	WritesOn    int64 // a proxy that lost us goes on writing this long
+	Settle      int64 // a write is concluded within this time
+}
+
+// Sight is what a controller may see and how.
+type Sight struct {
+	Zones       int
+	ReportEvery int64
+	MayProbe    bool
+	MustAsk     bool
+	AskWithin   int64
+}
