--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,7 +34,7 @@
 	calmAt    = 0.35   // and below which more may be let in
 	leastCut  = 0.95   // a cut goes this far under the proven throughput, so that the queue shrinks
 	deepCut   = 0.6    // and no further than this
-	easeUp    = 1.08   // calm widens the limit by this at each look
+	easeUp    = 1.04   // calm widens the limit by this at each look
 	liftAt    = 1.25   // a limit so far over the demand is lifted
 	unlimited = 1e6    // a rate no proxy reaches
 	everyone  = 0xffff // all classes of a mask
@@ -625,6 +625,7 @@
 	order []int // classes by importance per unit, the first to be let in
 	units []float64
 	limit float64 // units a second; 0 while all are let in
+	able  float64 // units a second and listed weight that were answered while a queue stood
 	laid  []float64
 	want  []float64
 }
@@ -642,6 +643,15 @@
 	return a
 }
 
+// laidWeight is the weight of all lines that proxies use now.
+func (c *Controller) laidWeight() float64 {
+	sum := 0.
+	for i := range c.backends {
+		sum += c.backends[i].line
+	}
+	return sum
+}
+
 func (a *admission) lines() int {
 	n := 0
 	for _, x := range a.laid {
@@ -684,18 +694,21 @@
 	}
 	perExchange := letUnits / let // the expected time of the mean exchange let in, seconds
 	heat := float64(took) / float64(answered) / float64(second) / perExchange
-	proven := rate * perExchange
+	proven, weight := rate*perExchange, c.laidWeight()
 	was := a.limit
 	switch {
+	case weight == 0:
 	case heat > hotAt:
-		cut := proven * max(deepCut, min(leastCut, hotAt/heat))
-		if a.limit == 0 || cut < a.limit {
-			a.limit = cut
-		}
-	case a.limit > 0 && heat < calmAt:
-		a.limit = max(a.limit*easeUp, leastCut*proven)
+		smooth(&a.able, proven/weight)
+		a.limit = a.able * weight * max(deepCut, min(leastCut, calmAt/heat))
+	case a.limit > 0:
+		// Calm again: back to what was proven at once, then a little more at each look.
+		if heat < calmAt {
+			a.able = max(a.able*easeUp, proven/weight)
+		}
+		a.limit = a.able * weight * leastCut
 		if a.limit > liftAt*came {
-			a.limit = 0
+			a.limit, a.able = 0, 0
 		}
 	}
 	if (was == 0) != (a.limit == 0) {
