--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,11 +30,14 @@
 	mostDead     = 3. / 4     // part that may leave altogether: a cut can hide all zones but one
 	wellAnswered = 0.8        // a share of answers that shows a backend at work
 
-	hotAt     = 0.5    // mean answer time over expected time from which a queue is building everywhere
-	calmAt    = 0.35   // and below which more may be let in
-	leastCut  = 0.95   // a cut goes this far under the proven throughput, so that the queue shrinks
-	deepCut   = 0.6    // and no further than this
-	easeUp    = 1.04   // calm widens the limit by this at each look
+	hotAt      = 0.5  // mean answer time over expected time from which a queue is building everywhere
+	calmAt     = 0.35 // and below which more may be let in
+	leastCut   = 0.95 // a cut goes this far under the proven throughput, so that the queue shrinks
+	deepCut    = 0.6  // and no further than this
+	easeUp     = 1.04 // calm widens the limit by this at each look
+	strainAt   = 2.0  // a score (times the median) that is no chance, if a queue stands there as well
+	strainStep = 0.75 // a strained backend's weight goes down in steps of this
+
 	liftAt    = 1.25   // a limit so far over the demand is lifted
 	unlimited = 1e6    // a rate no proxy reaches
 	everyone  = 0xffff // all classes of a mask
@@ -83,6 +86,10 @@
 	probed    bool // its last return was on a passed probe
 	fooled    bool // that return failed: its probes prove nothing
 	score     float64
+
+	strained float64 // part of the listed weight it is left with; 0 for all of it
+	easeAt   int64   // when that is widened
+	easeWait int64
 }
 
 // sample is one report line.
@@ -326,6 +333,9 @@
 // share is the part of its listed weight that a backend may carry now.
 func (c *Controller) share(b *backend, now int64) float64 {
 	part := 1.0
+	if b.strained > 0 {
+		part = b.strained
+	}
 	if b.enteredAt > 0 && now-b.enteredAt < entryFor {
 		part = entryShare
 	}
@@ -516,7 +526,9 @@
 		silent := b.unheard >= provenSilent && now-b.answered >= replyTimeout
 		dead := silent || tries >= provenSilent && failed == tries
 		// Against the median, so that what all share (overload, our own stall) condemns nobody.
-		if dead || tries >= triesToJudge && answers < usual/2 {
+		if !dead && b.score >= strainAt && tries >= triesToJudge/2 && b.score*median >= hotAt*c.levels.expected {
+			c.strain(i, now)
+		} else if dead || tries >= triesToJudge && answers < usual/2 {
 			b.score = -1
 			bad = append(bad, verdict{i, dead, tries, failed})
 		}
@@ -549,6 +561,22 @@
 	c.settleFallback(now)
 }
 
+// strain takes weight off a backend that answers, but so much later than the others that a queue must stand
+// at it alone: its listed weight is more than it can carry. Taken out whole, its load would strain the next
+// one. It guards against rough weights, slow machines and half-dead ones; where times differ by nature and
+// are near the expected time, it would shift load for nothing.
+func (c *Controller) strain(id int, now int64) {
+	b := &c.backends[id]
+	if b.strained == 0 {
+		b.strained = 1
+		c.logf("backend %d strained: answers take %.1f times the median", id, b.score)
+	}
+	b.strained = max(b.strained*strainStep, entryShare)
+	b.easeWait = max(firstBackoff, min(2*b.easeWait, longestBackoff))
+	b.easeAt = now + b.easeWait
+	b.samples = nil
+}
+
 func (b *backend) sums() (tries, failed int, took int64) {
 	for _, s := range b.samples {
 		tries, failed, took = tries+s.tries, failed+s.failed, took+s.took
@@ -582,9 +610,16 @@
 // returns brings withdrawn backends back after their time, at the entry share.
 func (c *Controller) returns(now int64) {
 	for i := range c.backends {
-		if b := &c.backends[i]; b.away && now >= b.backAt {
+		b := &c.backends[i]
+		if b.away && now >= b.backAt {
 			c.comeBack(i, now, false)
 		}
+		if b.strained > 0 && now >= b.easeAt {
+			b.easeAt = now + b.easeWait
+			if b.strained /= strainStep; b.strained > 0.99 {
+				b.strained = 0
+			}
+		}
 	}
 	c.settleFallback(now)
 }
@@ -621,13 +656,14 @@
 // admission is what we let in, in units: an exchange counts its expected time in seconds, as no setting gives
 // its work.
 type admission struct {
-	how   Admission
-	order []int // classes by importance per unit, the first to be let in
-	units []float64
-	limit float64 // units a second; 0 while all are let in
-	able  float64 // units a second and listed weight that were answered while a queue stood
-	laid  []float64
-	want  []float64
+	how      Admission
+	order    []int // classes by importance per unit, the first to be let in
+	units    []float64
+	expected float64 // expected time of the mean exchange let in, microseconds
+	limit    float64 // units a second; 0 while all are let in
+	able     float64 // units a second and listed weight that were answered while a queue stood
+	laid     []float64
+	want     []float64
 }
 
 func newAdmission(how Admission, classes []Class) admission {
@@ -693,6 +729,7 @@
 		return
 	}
 	perExchange := letUnits / let // the expected time of the mean exchange let in, seconds
+	a.expected = perExchange * float64(second)
 	heat := float64(took) / float64(answered) / float64(second) / perExchange
 	proven, weight := rate*perExchange, c.laidWeight()
 	was := a.limit
