--- /dev/null
+++ b/internal/benchwire/benchwire_test.go
@@ -0,0 +1,158 @@
+package benchwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"math"
+	"strings"
+	"testing"
+)
+
+// frame builds a batch from records, each given as code and the bytes after it.
+func frame(tail []byte, records ...[]byte) []byte {
+	var out []byte
+	for _, r := range records {
+		out = append(out, append(r, make([]byte, eventSize-len(r))...)...)
+	}
+	head := make([]byte, batchHeaderSize)
+	binary.LittleEndian.PutUint32(head, uint32(len(out)+len(tail)))
+	binary.LittleEndian.PutUint64(head[4:], math.Float64bits(247))
+	binary.LittleEndian.PutUint32(head[12:], uint32(len(records)))
+	binary.LittleEndian.PutUint32(head[16:], 9)
+	return append(append(head, out...), tail...)
+}
+
+const settings = `azs=a,b
+familyInfo.admission=per_second
+familyInfo.backlog=900
+familyInfo.blackhole=4700
+familyInfo.egressPerS=900
+familyInfo.overhead=4
+familyInfo.propagation=265
+familyInfo.pushDelayMax=662.5
+familyInfo.reportEvery=2000
+membershipMode=automatic
+profiles.count=1
+profiles.0.deadline=4000
+profiles.0.idempotency=pure
+profiles.0.target=1500
+rules.coldShare=0.16
+rules.fall=2000
+rules.fallMultiple=3
+rules.rampTime=17000
+rules.stopSendingWithin=3000
+`
+
+func create(instance uint16, size int) []byte {
+	r := make([]byte, 19)
+	binary.LittleEndian.PutUint16(r[1:], instance)
+	binary.LittleEndian.PutUint32(r[15:], uint32(size))
+	return r
+}
+
+// play hands frames to a fresh door and gives the codes of all actions and what was complained of.
+func play(t *testing.T, frames ...[]byte) (codes []byte, tails, complaints string, err error) {
+	t.Helper()
+	var said strings.Builder
+	door, body := NewDoor(&said), bytes.Buffer{}
+	in := bytes.NewReader(bytes.Join(frames, nil))
+	for {
+		batch, err := ReadBatch(in, &body)
+		if err == io.EOF {
+			return codes, tails, said.String(), nil
+		} else if err != nil {
+			return codes, tails, said.String(), err
+		}
+		reply, err := door.Handle(batch)
+		if err != nil {
+			return codes, tails, said.String(), err
+		}
+		for i := 0; i < len(reply.records); i += actionSize {
+			codes = append(codes, reply.records[i])
+		}
+		tails += string(reply.tail)
+	}
+}
+
+func TestInput(t *testing.T) {
+	good := frame([]byte(settings), create(3, len(settings)))
+	t.Run("an instance starts and asks for its beat", func(t *testing.T) {
+		codes, _, said, err := play(t, good)
+		if err != nil || said != "" || !bytes.Equal(codes, []byte{acSleep}) {
+			t.Errorf("codes %v, said %q, error %v", codes, said, err)
+		}
+	})
+	huge := frame(nil)
+	binary.LittleEndian.PutUint32(huge, 1<<31)
+	many := frame(nil)
+	binary.LittleEndian.PutUint32(many[12:], 1<<30)
+	unclocked := frame(nil)
+	binary.LittleEndian.PutUint64(unclocked[4:], math.Float64bits(math.NaN()))
+	for name, raw := range map[string][]byte{
+		"cut off in the header":       good[:7],
+		"cut off in the records":      good[:40],
+		"a length that never comes":   huge,
+		"more records than bytes":     many,
+		"a clock that is no number":   unclocked,
+		"a tail offset out of bounds": frame([]byte("short"), create(3, 500)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, _, _, err := play(t, raw); err == nil {
+				t.Error("was taken")
+			}
+		})
+	}
+	t.Run("unknown codes, words and instances are skipped and said once", func(t *testing.T) {
+		text := strings.Replace(settings, "=pure", "=sometimes", 1)
+		codes, _, said, err := play(t, frame([]byte(text), create(3, len(text)), []byte{77}, []byte{77}, []byte{2, 9}))
+		if err != nil || !bytes.Equal(codes, []byte{acSleep}) || strings.Count(said, "event code 77") != 1 ||
+			!strings.Contains(said, "sometimes") || !strings.Contains(said, "instance 9") {
+			t.Errorf("codes %v, said %q, error %v", codes, said, err)
+		}
+	})
+	for _, key := range []string{"familyInfo.egressPerS", "profiles.0.target", "azs", "rules.rampTime"} {
+		t.Run("without "+key+" the instance bails out, and the others go on", func(t *testing.T) {
+			text := strings.Replace(settings, key, "was."+key, 1)
+			codes, tail, _, err := play(t, frame([]byte(text), create(3, len(text))), good, frame(nil, []byte{2, 3}))
+			if err != nil || !bytes.Equal(codes, []byte{acBail, acSleep}) || !strings.Contains(tail, key) {
+				t.Errorf("codes %v, tail %q, error %v", codes, tail, err)
+			}
+		})
+	}
+	t.Run("a panic ends its instance alone", func(t *testing.T) {
+		door := NewDoor(io.Discard)
+		in := &instance{door: door, id: 4}
+		in.guarded(func() { panic("index out of range") })
+		if in.control != nil || len(door.reply.records) != actionSize || string(door.reply.tail) != "index out of range" {
+			t.Errorf("reply %v %q", door.reply.records, door.reply.tail)
+		}
+	})
+}
+
+func FuzzFrames(f *testing.F) {
+	start := frame([]byte(settings), create(0, len(settings)))
+	f.Add(start)
+	f.Add(append(bytes.Clone(start), frame(nil, []byte{9, 0, 0, 0, 5}, []byte{6, 0, 0}, []byte{1, 0, 0}, []byte{200})...))
+	f.Add(start[:33])
+	f.Add(frame(make([]byte, 2*entrySize), []byte{14, 0, 0, 0, 0, 0, 0, 0, 0, 2}, []byte{1, 0, 0}))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		door, body, in := NewDoor(io.Discard), bytes.Buffer{}, bytes.NewReader(raw)
+		for {
+			batch, err := ReadBatch(in, &body)
+			if err != nil {
+				return
+			}
+			reply, err := door.Handle(batch)
+			if err != nil {
+				return
+			}
+			if reply.seq != batch.Seq || len(reply.records)%actionSize != 0 {
+				t.Fatal("not a reply to its batch")
+			}
+			if bytes.Contains(reply.tail, []byte("runtime error")) {
+				t.Fatalf("the module panicked: %s", reply.tail)
+			}
+		}
+	})
+}
