Limit what is let in by the queue that stands, and keep it once proven

Cause: cutting on heat alone cut too deep after short bursts, eased too slowly, and lifted too early so that the next wave jammed again. Now a hot look estimates the queue, cuts for as long as it takes to drain it, then returns open loop to a proven share.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,15 +30,19 @@
 	mostDead     = 3. / 4     // part that may leave altogether: a cut can hide all zones but one
 	wellAnswered = 0.8        // a share of answers that shows a backend at work
 
-	hotAt      = 0.5  // mean answer time over expected time from which a queue is building everywhere
-	calmAt     = 0.35 // and below which more may be let in
-	leastCut   = 0.95 // a cut goes this far under the proven throughput, so that the queue shrinks
-	deepCut    = 0.6  // and no further than this
-	easeUp     = 1.04 // calm widens the limit by this at each look
+	hotAt      = 0.45 // mean answer time over expected time from which a queue is building everywhere
+	calmAt     = 0.3  // and below which more may be let in
+	leastCut   = 0.85 // a cut goes this far under the proven throughput, so that the queue shrinks
+	deepCut    = 0.1  // and no further than this
+	drain      = 2 * pace
+	baseDrift  = 1.01
+	easeFast   = 1.05
+	easeDown   = 0.92
+	easeUp     = 1.02
 	strainAt   = 2.0  // a score (times the median) that is no chance, if a queue stands there as well
 	strainStep = 0.75 // a strained backend's weight goes down in steps of this
 
-	liftAt    = 1.25   // a limit so far over the demand is lifted
+	atRest    = 1.25
 	unlimited = 1e6    // a rate no proxy reaches
 	everyone  = 0xffff // all classes of a mask
 )
@@ -97,7 +101,6 @@
 	at            int64
 	tries, failed int
 	took          int64 // total time of the answered ones
-	rate          float64
 }
 
 type proxy struct {
@@ -151,6 +154,11 @@
 		c.steer(now)
 		c.lookedAt, c.reports = now, 0
 	}
+	if a := &c.levels; a.drainedAt > 0 && now >= a.drainedAt { // the queue must be gone, though no report says so yet
+		a.drainedAt, a.part = 0, leastCut
+		a.limit = a.part * a.able * c.laidWeight()
+		c.setLevels()
+	}
 	c.returns(now)
 	c.publish(now, now-c.publishedAt >= pace)
 	c.bindWaiting(now)
@@ -245,9 +253,6 @@
 	now, b := c.host.Now(), &c.backends[id]
 	c.reports++
 	s := sample{at: now, tries: tries, failed: failed, took: mean * int64(tries-failed)}
-	if span > 0 {
-		s.rate = float64(tries-failed) / float64(span) * float64(second)
-	}
 	b.samples = append(b.samples, s)
 	if failed < tries {
 		b.answered, b.unheard = now, 0
@@ -526,8 +531,12 @@
 		silent := b.unheard >= provenSilent && now-b.answered >= replyTimeout
 		dead := silent || tries >= provenSilent && failed == tries
 		// Against the median, so that what all share (overload, our own stall) condemns nobody.
-		if !dead && b.score >= strainAt && tries >= triesToJudge/2 && b.score*median >= hotAt*c.levels.expected {
-			c.strain(i, now)
+		// A backend that answers, but late, has a queue: it carries too much, which is no reason to send all of
+		// that to the next. Only if others fare far better does it lose part of its weight.
+		if queued := b.score*median >= hotAt*c.levels.expected; !dead && queued {
+			if b.score >= strainAt && tries >= triesToJudge/2 {
+				c.strain(i, now)
+			}
 		} else if dead || tries >= triesToJudge && answers < usual/2 {
 			b.score = -1
 			bad = append(bad, verdict{i, dead, tries, failed})
@@ -656,20 +665,26 @@
 // admission is what we let in, in units: an exchange counts its expected time in seconds, as no setting gives
 // its work.
 type admission struct {
-	how      Admission
-	order    []int // classes by importance per unit, the first to be let in
-	units    []float64
-	expected float64 // expected time of the mean exchange let in, microseconds
-	limit    float64 // units a second; 0 while all are let in
-	able     float64 // units a second and listed weight that were answered while a queue stood
-	laid     []float64
-	want     []float64
+	how                  Admission
+	order                []int // classes by importance per unit, the first to be let in
+	units                []float64
+	expected             float64 // expected time of the mean exchange let in, microseconds
+	limit                float64 // units a second; 0 while all are let in
+	part                 float64 // of what is able to be answered; 0 while all are let in
+	base                 float64 // heat when no queue stands
+	outer                float64 // longest outer limit, microseconds
+	bound                bool
+	drainedAt, holdUntil int64
+	able                 float64 // units a second and listed weight that were answered while a queue stood
+	laid                 []float64
+	want                 []float64
 }
 
 func newAdmission(how Admission, classes []Class) admission {
 	a := admission{how: how, laid: make([]float64, len(classes)), want: make([]float64, len(classes))}
 	for i, class := range classes {
 		a.order = append(a.order, i)
+		a.outer = max(a.outer, float64(class.Outer))
 		a.units = append(a.units, max(float64(class.Expected)/float64(second), 1e-3))
 	}
 	slices.SortStableFunc(a.order, func(x, y int) int {
@@ -679,11 +694,19 @@
 	return a
 }
 
-// laidWeight is the weight of all lines that proxies use now.
+// carried is the listed weight behind a backend's line: strain moves load, but takes no capacity away.
+func (b *backend) carried() float64 {
+	if b.strained > 0 {
+		return b.line / b.strained
+	}
+	return b.line
+}
+
+// laidWeight is the weight that all lines in use stand for.
 func (c *Controller) laidWeight() float64 {
 	sum := 0.
 	for i := range c.backends {
-		sum += c.backends[i].line
+		sum += c.backends[i].carried()
 	}
 	return sum
 }
@@ -703,13 +726,25 @@
 	if a.how == AdmitNone {
 		return
 	}
-	answered, took, rate := 0, int64(0), 0.
+	tries, answers, took, weight := 0, 0, 0., 0.
 	for i := range c.backends {
-		for _, s := range c.backends[i].samples {
+		b := &c.backends[i]
+		late, failed := 0., 0
+		answered := 0
+		for _, s := range b.samples {
 			if s.at > c.lookedAt {
-				answered, took, rate = answered+s.tries-s.failed, took+s.took, rate+s.rate
+				answered, late = answered+s.tries-s.failed, late+float64(s.took)
+				failed += s.failed
 			}
 		}
+		tries, answers, took = tries+answered, answers+answered, took+late
+		if answered > 0 {
+			weight += b.carried()
+		}
+		// Failures of a backend that answers late are time-outs in its queue, and say how long that is.
+		if answered > 0 && late/float64(answered) > calmAt*a.expected {
+			tries, took = tries+failed, took+float64(failed)*a.outer/2
+		}
 	}
 	came, let, letUnits := 0., 0., 0.
 	for class := range c.classes {
@@ -725,32 +760,42 @@
 			}
 		}
 	}
-	if answered == 0 || let == 0 {
+	if tries == 0 || let == 0 {
 		return
 	}
 	perExchange := letUnits / let // the expected time of the mean exchange let in, seconds
 	a.expected = perExchange * float64(second)
-	heat := float64(took) / float64(answered) / float64(second) / perExchange
-	proven, weight := rate*perExchange, c.laidWeight()
-	was := a.limit
+	heat := took / float64(tries) / a.expected
+	if a.base == 0 || heat < a.base || now-c.started < replyTimeout {
+		a.base = heat
+	}
+	a.base *= baseDrift
+	// Reports that a stall of ours held back come together, and are counted over the whole time.
+	proven := float64(answers) / float64(now-c.lookedAt) * float64(second) * perExchange
+	was, lag := a.bound, c.sight.ReportEvery+c.channel.LongestWay+second
 	switch {
-	case weight == 0:
+	case weight == 0 || now < a.holdUntil: // what was ordered is not yet seen
 	case heat > hotAt:
 		smooth(&a.able, proven/weight)
-		a.limit = a.able * weight * max(deepCut, min(leastCut, calmAt/heat))
-	case a.limit > 0:
-		// Calm again: back to what was proven at once, then a little more at each look.
-		if heat < calmAt {
-			a.able = max(a.able*easeUp, proven/weight)
-		}
-		a.limit = a.able * weight * leastCut
-		if a.limit > liftAt*came {
-			a.limit, a.able = 0, 0
+		// The queue that stands before a new exchange, in seconds of work, with what came while we did not know.
+		queue := (heat-a.base)*perExchange + max(0, letUnits/(a.able*weight)-1)*float64(lag)/float64(second)
+		a.part = max(deepCut, leastCut-queue/(float64(drain)/float64(second)))
+		a.drainedAt, a.holdUntil = now+drain, now+drain+lag
+	case a.part > 0 && came > a.limit && heat < calmAt:
+		if heat < atRest*a.base {
+			a.part *= easeFast
+		} else {
+			a.part *= easeUp
 		}
+	case a.part > 0 && came > a.limit:
+		a.part *= easeDown
+	case a.part > 0:
+		a.able = max(a.able, proven/c.laidWeight())
 	}
-	if (was == 0) != (a.limit == 0) {
-		c.logf("limit %.1f units/s: answers take %.2f of the expected time, %.1f come, %.1f answered",
-			a.limit, heat, came, proven)
+	a.limit = a.part * a.able * c.laidWeight()
+	if a.bound = a.part > 0 && came > a.limit; was != a.bound {
+		c.logf("limit bound %v at %.1f units/s: answers take %.2f of the expected time, %.1f come, %.1f answered",
+			a.bound, a.limit, heat, came, proven)
 	}
 	c.setLevels()
 }
