--- a/decide/decide.go
+++ b/decide/decide.go
@@ -42,9 +42,11 @@
 	strainAt   = 2.0  // a score (times the median) that is no chance, if a queue stands there as well
 	strainStep = 0.75 // a strained backend's weight goes down in steps of this
 
-	atRest    = 1.25
-	unlimited = 1e6    // a rate no proxy reaches
-	everyone  = 0xffff // all classes of a mask
+	idleBusy    = 0.8
+	idleWaiting = 0.8
+	atRest      = 1.25
+	unlimited   = 1e6    // a rate no proxy reaches
+	everyone    = 0xffff // all classes of a mask
 )
 
 // Controller decides for the proxies that are joined to it.
@@ -80,6 +82,7 @@
 	line      float64 // its weight in our tables
 	out       bool    // withdrawn from whatever tables proxies hold
 	samples   []sample
+	load      Load
 	answered  int64 // when an answer was last heard of
 	unheard   int   // tries without any answer since then
 	enteredAt int64 // when it last entered or returned; 0 if it was here from the start
@@ -254,6 +257,9 @@
 	c.reports++
 	s := sample{at: now, tries: tries, failed: failed, took: mean * int64(tries-failed)}
 	b.samples = append(b.samples, s)
+	if load.Busy >= 0 || load.Waiting >= 0 {
+		b.load = load
+	}
 	if failed < tries {
 		b.answered, b.unheard = now, 0
 	} else {
@@ -775,7 +781,7 @@
 	was, lag := a.bound, c.sight.ReportEvery+c.channel.LongestWay+second
 	switch {
 	case weight == 0 || now < a.holdUntil: // what was ordered is not yet seen
-	case heat > hotAt:
+	case heat > hotAt && !c.idle():
 		smooth(&a.able, proven/weight)
 		// The queue that stands before a new exchange, in seconds of work, with what came while we did not know.
 		queue := (heat-a.base)*perExchange + max(0, letUnits/(a.able*weight)-1)*float64(lag)/float64(second)
@@ -800,6 +806,18 @@
 	c.setLevels()
 }
 
+// idle tells whether the backends themselves say that nothing waits: then slow answers come from proxies that
+// stand still, or from the way, and letting less in would not help. Where they say nothing, it is false.
+func (c *Controller) idle() bool {
+	n, busy, waiting := 0., 0., 0.
+	for i := range c.backends {
+		if b := &c.backends[i]; b.line > 0 && b.answered > c.lookedAt && b.load != (Load{}) {
+			n, busy, waiting = n+1, busy+b.load.Busy, waiting+b.load.Waiting
+		}
+	}
+	return n > 0 && (busy >= 0 && busy < idleBusy*n || waiting >= 0 && waiting < idleWaiting*n)
+}
+
 // setLevels shares the limit out, importance first; a class is cut at its busiest proxies.
 func (c *Controller) setLevels() {
 	a := &c.levels
