--- a/decide/decide.go
+++ b/decide/decide.go
@@ -534,7 +534,7 @@
 			b.score = float64(took) / float64(tries-failed) / median
 		}
 		// Silence counts only with tries: without them it is we who do not know.
-		silent := b.unheard >= provenSilent && now-b.answered >= replyTimeout
+		silent := b.unheard >= provenSilent
 		dead := silent || tries >= provenSilent && failed == tries
 		// Against the median, so that what all share (overload, our own stall) condemns nobody.
 		// A backend that answers, but late, has a queue: it carries too much, which is no reason to send all of
