--- a/decide/decide.go
+++ b/decide/decide.go
@@ -161,6 +161,7 @@
 		a.drainedAt, a.part = 0, leastCut
 		a.limit = a.part * a.able * c.laidWeight()
 		c.setLevels()
+		c.publish(now, true)
 	}
 	c.returns(now)
 	c.publish(now, now-c.publishedAt >= pace)
@@ -385,22 +386,23 @@
 		c.withdrawals(now)
 		return
 	}
-	if !c.channel.open(c.proxies, now, !ordinary) {
+	if !c.channel.open(c.proxies, now, c.limits.Grace, !ordinary) {
 		return
 	}
 	lines, laid := 0, false
 	for i := range c.backends {
 		lines += count(c.backends[i].line > 0)
 	}
+	for i := range c.backends {
+		// What must go at once takes along what waits, as one message costs one header.
+		b := &c.backends[i]
+		want, cold := c.wanted(b, now), b.Started > 0 && now-b.Started < c.limits.WarmBy
+		ordinary = ordinary || want < b.line && (cold || !c.usable(b, now)) || want > 0 && lines == 0
+	}
 	for _, adding := range []bool{true, false} { // lines come before others go: no table is bare in between
 		for i := range c.backends {
-			b := &c.backends[i]
-			want := c.wanted(b, now)
-			if want == b.line || (want > b.line) != adding {
-				continue
-			}
-			urgent := lines == 0 && adding || !c.usable(b, now) || want > 0 && want < b.line
-			if ordinary || urgent {
+			want, line := c.wanted(&c.backends[i], now), c.backends[i].line
+			if ordinary && want != line && (want > line) == adding {
 				c.setLine(i, want)
 				laid = true
 			}
@@ -536,14 +538,14 @@
 		// Silence counts only with tries: without them it is we who do not know.
 		silent := b.unheard >= provenSilent
 		dead := silent || tries >= provenSilent && failed == tries
-		// Against the median, so that what all share (overload, our own stall) condemns nobody.
+		// Against the median, and only while that is good: what all share (overload, our own stall) condemns nobody.
 		// A backend that answers, but late, has a queue: it carries too much, which is no reason to send all of
 		// that to the next. Only if others fare far better does it lose part of its weight.
 		if queued := b.score*median >= hotAt*c.levels.expected; !dead && queued {
 			if b.score >= strainAt && tries >= triesToJudge/2 {
 				c.strain(i, now)
 			}
-		} else if dead || tries >= triesToJudge && answers < usual/2 {
+		} else if dead || tries >= triesToJudge && usual >= wellAnswered && answers < usual/2 {
 			b.score = -1
 			bad = append(bad, verdict{i, dead, tries, failed})
 		}
@@ -784,7 +786,7 @@
 	case heat > hotAt && !c.idle():
 		smooth(&a.able, proven/weight)
 		// The queue that stands before a new exchange, in seconds of work, with what came while we did not know.
-		queue := (heat-a.base)*perExchange + max(0, letUnits/(a.able*weight)-1)*float64(lag)/float64(second)
+		queue := (heat-min(a.base, calmAt))*perExchange + max(0, letUnits/(a.able*weight)-1)*float64(lag)/float64(second)
 		a.part = max(deepCut, leastCut-queue/(float64(drain)/float64(second)))
 		a.drainedAt, a.holdUntil = now+drain, now+drain+lag
 	case a.part > 0 && came > a.limit && heat < calmAt:
@@ -867,13 +869,13 @@
 			continue
 		}
 		a.laid[class] = want
-		allowance := want
+		allowance, tries := want, TryOnce // a further try would only add to the queue
 		if want == 0 {
-			allowance = unlimited
+			allowance, tries = unlimited, TryAfterProof
 		}
 		for table := range 1 + c.sight.Zones {
 			if mask := c.mask(table) & (1 << class); mask != 0 {
-				c.host.Admit(table, mask, allowance, TryAfterProof)
+				c.host.Admit(table, mask, allowance, tries)
 				laid = true
 			}
 		}
@@ -959,7 +961,7 @@
 // fits tells whether a whole table may go: the design lets these wait while half the backlog is in use.
 func (l *ledger) fits(cost float64) bool { return l.lines == 0 || l.lines+cost <= l.Backlog/2 }
 
-// may tells whether a proxy may be sent one more message. A third of what is allowed is kept for what the rules need.
+// may tells whether a proxy may be sent one more message. Half of what is allowed is kept for what the rules need.
 func (l *ledger) may(p *proxy, now int64, urgent bool) bool {
 	p.sent = slices.DeleteFunc(p.sent, func(at int64) bool { return at <= now-l.MessagesSpan-l.LongestWay })
 	if l.MessagesMost == 0 || len(p.sent) > 0 && p.sent[len(p.sent)-1] == now {
@@ -968,11 +970,14 @@
 	if urgent {
 		return len(p.sent) < l.MessagesMost
 	}
-	return len(p.sent) < l.MessagesMost*2/3
+	return len(p.sent) < l.MessagesMost/2
 }
 
-// open tells whether changes may go to all bound proxies now.
-func (l *ledger) open(proxies []proxy, now int64, urgent bool) bool {
+// open tells whether changes may go to all bound proxies now. Urgent ones that come one by one, as when a
+// zone's backends drop from the list, wait for each other as long as the grace bears it twice: sent singly they
+// used up the messages that a proxy may be written, and the last had to wait.
+func (l *ledger) open(proxies []proxy, now, grace int64, urgent bool) bool {
+	gap := min((grace-l.LongestWay-beat)/2, l.MessagesSpan/int64(max(l.MessagesMost, 1)))
 	most := l.Backlog / 2
 	if urgent {
 		most = l.Backlog * 3 / 4
@@ -981,7 +986,11 @@
 		return false
 	}
 	for i := range proxies {
-		if proxies[i].bound && !l.may(&proxies[i], now, urgent) {
+		p := &proxies[i]
+		if p.bound && !l.may(p, now, urgent) {
+			return false
+		}
+		if n := len(p.sent); p.bound && l.MessagesMost > 0 && n > 0 && p.sent[n-1] < now && p.sent[n-1]+gap > now {
 			return false
 		}
 	}
