--- a/decide/decide.go
+++ b/decide/decide.go
@@ -806,6 +806,9 @@
 			a.bound, a.limit, heat, came, proven)
 	}
 	c.setLevels()
+	if a.drainedAt == now+drain { // a cut just found cannot wait for its turn
+		c.publish(now, true)
+	}
 }
 
 // idle tells whether the backends themselves say that nothing waits: then slow answers come from proxies that
