--- a/decide/decide.go
+++ b/decide/decide.go
@@ -2,10 +2,9 @@
 
 // How to call this module: New makes a Controller from its Host, its seed and the figures it starts with
 // (all in host.go); after that there is one method for each thing that can happen, and each acts by calling
-// the Host. Read on from New, then Elapsed, publish, judge and steer; docs/design.md says why.
+// the Host. Read New, then Elapsed, publish, judge and steer; docs/design.md says why things are so.
 
 import (
-	"encoding/binary"
 	"fmt"
 	"hash/fnv"
 	"slices"
@@ -16,100 +15,92 @@
 
 	// From the design page, "ours" there, so defaults.
 	pace           = 2 * second  // ordinary changes go out at most this often
-	replyTimeout   = 5 * second  // answering nothing for so long leaves R; also the span that scores look at
-	triesToJudge   = 20          // fewer tries prove no failure share
+	replyTimeout   = 5 * second  // the span of reports that scores look at
+	triesToJudge   = 20          // fewer tries prove no share of failures
 	firstBackoff   = 10 * second // a withdrawn backend returns after this, doubling ...
 	longestBackoff = 60 * second // ... up to this
 	entryShare     = 0.25        // new and returning backends begin with this part of the listed weight ...
 	entryFor       = 5 * second  // ... for so long
 
+	// Scores.
 	beat         = second / 4 // how often waiting work is looked at: well under any pace
-	provenSilent = 5          // tries that all failed before a backend counts as dead: a proxy's own measure
-	probeEvery   = 3 * second // looks at a withdrawn backend; the process must have had time to change
+	provenSilent = 5          // tries in a row that all failed show a dead backend: proxies use as many
+	probeEvery   = 3 * second // looks at a withdrawn backend; its state must have had time to change
 	mostFailing  = 1. / 3     // part of the listed weight that failures short of death may take out
 	mostDead     = 3. / 4     // part that may leave altogether: a cut can hide all zones but one
-	wellAnswered = 0.8        // a share of answers that shows a backend at work
-
-	hotAt      = 0.45 // mean answer time over expected time from which a queue is building everywhere
-	calmAt     = 0.3  // and below which more may be let in
-	leastCut   = 0.85 // a cut goes this far under the proven throughput, so that the queue shrinks
-	deepCut    = 0.1  // and no further than this
-	drain      = 2 * pace
-	baseDrift  = 1.01
-	easeFast   = 1.05
-	easeDown   = 0.92
-	easeUp     = 1.02
-	strainAt   = 2.0  // a score (times the median) that is no chance, if a queue stands there as well
-	strainStep = 0.75 // a strained backend's weight goes down in steps of this
-
-	idleBusy    = 0.8
-	idleWaiting = 0.8
-	atRest      = 1.25
-	unlimited   = 1e6    // a rate no proxy reaches
-	everyone    = 0xffff // all classes of a mask
+	wellAnswered = 0.8        // a share of answers that shows a backend, or the fleet, at work
+	strainAt     = 2.0        // a score (times the median) that is no chance where a queue stands as well
+	strainStep   = 0.75       // weight goes down in steps of this: twice is about the spread of rough weights
+
+	// Levels. Heat is the mean answer time over the expected time.
+	hotAt      = 0.45      // from here a queue stands nearly everywhere: its tail misses the expected time
+	calmAt     = 0.3       // below this hardly anything waits
+	restAt     = 0.2       // heat without any queue, about: expected times leave room
+	leastCut   = 0.85      // part of the proven throughput that fixed weights can spread without queues
+	deepestCut = 0.1       // a cut leaves this much, so that we go on hearing
+	drain      = 2 * pace  // a queue is drained within this; orders keep the pace, so not faster
+	easeDown   = 0.92      // of the limit at each look, while heat lies between calm and hot ...
+	easeUp     = 1.04      // ... while it is calm
+	idleAt     = 0.8       // backends less busy, or with less waiting on average, have no queue
+	leastLet   = 0.05      // part of its demand that the least important class keeps: we go on hearing of it
+	sameLevel  = 0.05      // levels that differ by less are one: reports are no finer
+	unlimited  = 1_000_000 // a rate no proxy reaches
 )
 
 // Controller decides for the proxies that are joined to it.
 type Controller struct {
-	host     Host
-	seed     uint64
-	drawn    uint64
-	tag      uint64
-	limits   Limits
-	sight    Sight
-	classes  []Class
-	backends []backend
-	proxies  []proxy
-	channel  ledger
-	levels   admission
-	owners   []slice
-
-	started     int64
-	listedOnce  bool
-	askAt       int64
-	askWait     int64
-	publishedAt int64
-	lookedAt    int64
-	reports     int
-	fallback    bool
+	host        Host
+	seed, drawn uint64
+	limits      Limits
+	sight       Sight
+	classes     []Class
+	shared, own uint16 // classes that use the shared table, and those that use their zone's
+	backends    []*backend
+	proxies     []*proxy
+	channel     ledger
+	levels      admission
+	owners      ownership
+
+	publishedAt, lookedAt, askAt, askWait int64
+
+	reports              int // lines since the last look
+	listedOnce, fallback bool
 }
 
 // backend is all that is known of one backend.
 type backend struct {
 	Entry
-	listed    bool
-	drained   bool    // was seen draining since its last start
-	line      float64 // its weight in our tables
-	out       bool    // withdrawn from whatever tables proxies hold
-	samples   []sample
-	load      Load
-	answered  int64 // when an answer was last heard of
-	unheard   int   // tries without any answer since then
-	enteredAt int64 // when it last entered or returned; 0 if it was here from the start
-	away      bool
-	backAt    int64
-	backoff   int64
-	probedAt  int64
-	probed    bool // its last return was on a passed probe
-	fooled    bool // that return failed: its probes prove nothing
-	score     float64
-
-	strained float64 // part of the listed weight it is left with; 0 for all of it
-	easeAt   int64   // when that is widened
-	easeWait int64
-}
-
-// sample is one report line.
+	listed, drained bool    // drained: was seen draining since it was last ready
+	line            float64 // its weight in our tables
+	out             bool    // withdrawn from whatever tables proxies hold
+	enteredAt       int64   // when it entered or returned; 0 if it was here from the start
+
+	samples             []sample // what was heard within the reply timeout, and its sums
+	tries, failed       int
+	mean                float64
+	load                Load
+	answered            int64   // when an answer was last heard of
+	unheard             int     // tries without any answer since then
+	score               float64 // mean over the median, 1 if unheard, negative if it left R
+	away                bool
+	backAt, backoff     int64
+	probedAt            int64
+	probed, fooled      bool    // its last return was on a passed probe; such a return failed
+	strained            float64 // part of the listed weight that it is left with; 0 for all of it
+	widenAt, widenEvery int64
+}
+
+// sample is one report line; took is the total time of the answered ones.
 type sample struct {
-	at            int64
+	at, took      int64
 	tries, failed int
-	took          int64 // total time of the answered ones
 }
 
 type proxy struct {
 	joined, bound bool
 	zone          int
-	joinedAt      int64
+	leftAt        int64
+	applied       int64     // orders up to this one have come through
 	rates         []float64 // exchanges a second that come to it, by class
 	sent          []int64   // when messages went to it, within the span that is counted
 }
@@ -117,74 +108,73 @@
 // New makes a controller that knows nothing yet: until reports come, nothing is withdrawn for being unheard.
 func New(host Host, seed uint64, classes []Class, channel Channel, limits Limits, partition Partition,
 	sight Sight, admit Admission) *Controller {
-	c := &Controller{host: host, seed: seed, tag: seed | 1, limits: limits, sight: sight, classes: classes,
-		channel: ledger{Channel: channel}, levels: newAdmission(admit, classes), started: host.Now()}
-	c.owners = newSlices(partition)
+	c := &Controller{host: host, seed: seed, limits: limits, sight: sight, classes: classes,
+		channel: ledger{Channel: channel}, levels: newAdmission(admit, classes),
+		owners: newOwnership(partition, classes)}
+	for i, class := range classes {
+		if class.OwnZone {
+			c.own |= 1 << i
+		} else {
+			c.shared |= 1 << i
+		}
+	}
 	if sight.MustAsk {
 		c.ask()
 	}
-	host.After(beat, c.tag)
+	host.After(beat, seed)
 	return c
 }
 
 // chance draws evenly from 0 to 1.
 func (c *Controller) chance() float64 {
-	var word [16]byte
-	binary.LittleEndian.PutUint64(word[:], c.seed)
-	binary.LittleEndian.PutUint64(word[8:], c.drawn)
-	c.drawn++
 	h := fnv.New64a()
-	h.Write(word[:])
+	fmt.Fprint(h, c.seed, " ", c.drawn)
+	c.drawn++
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
 func (c *Controller) logf(format string, args ...any) { c.host.Log(fmt.Sprintf(format, args...)) }
 
+func count(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
 // Elapsed is the beat: whatever waited for time or for room in the channel is looked at again.
 func (c *Controller) Elapsed(tag uint64) {
-	if tag != c.tag {
+	if tag != c.seed {
 		return // a timer of an earlier life
 	}
 	now := c.host.Now()
-	c.host.After(beat, c.tag)
+	c.host.After(beat, c.seed)
 	c.channel.expire(now)
 	if c.sight.MustAsk && now >= c.askAt {
 		c.ask()
 	}
-	c.probe(now)
+	cut := c.drained(now)
 	if c.reports > 0 && now-c.lookedAt >= c.sight.ReportEvery {
 		c.judge(now)
-		c.steer(now)
+		cut = c.steer(now) || cut
 		c.lookedAt, c.reports = now, 0
 	}
-	if a := &c.levels; a.drainedAt > 0 && now >= a.drainedAt { // the queue must be gone, though no report says so yet
-		a.drainedAt, a.part = 0, leastCut
-		a.limit = a.part * a.able * c.laidWeight()
-		c.setLevels()
-		c.publish(now, true)
-	}
 	c.returns(now)
-	c.publish(now, now-c.publishedAt >= pace)
-	c.bindWaiting(now)
-	c.tendSlices(now)
+	c.publish(now, cut || now-c.publishedAt >= pace)
 }
 
 // ---- the list
 
-// ask asks for the list, and again when no answer comes.
+// ask asks for the list. An answer, or a failure, always comes.
 func (c *Controller) ask() {
 	c.host.Watch()
-	c.askWait = max(second/2, min(2*c.askWait, c.limitWait()))
-	c.askAt = c.host.Now() + 1<<50 // the answer, or the failure, sets the next
+	c.askWait = max(second/2, min(2*c.askWait, c.sight.AskWithin/4))
+	c.askAt = 1 << 62
 }
 
-func (c *Controller) limitWait() int64 { return max(second, c.sight.AskWithin/4) }
-
 // ListFailed asks again after a while, spread by chance so that controllers do not ask together.
 func (c *Controller) ListFailed() {
-	if c.sight.MustAsk {
-		c.askAt = c.host.Now() + int64(float64(c.askWait)*(0.5+c.chance()))
-	}
+	c.askAt = c.host.Now() + int64(float64(c.askWait)*(0.5+c.chance()))
 }
 
 // Listed takes in the list: whole, or what changed; a remembered one may be out of date.
@@ -196,55 +186,53 @@
 	seen := make([]bool, len(c.backends))
 	for _, e := range entries {
 		for len(c.backends) <= e.Backend {
-			c.backends, seen = append(c.backends, backend{}), append(seen, false)
+			c.backends, seen = append(c.backends, &backend{}), append(seen, false)
 		}
 		seen[e.Backend] = true
-		c.relist(&c.backends[e.Backend], e, now)
+		c.backends[e.Backend].relist(e, now, c.listedOnce)
 	}
-	for i := range c.backends {
-		if b := &c.backends[i]; whole && !seen[i] && b.listed && b.Condition != Gone {
+	for i, b := range c.backends {
+		if whole && !seen[i] {
 			b.Condition = Gone
 		}
 	}
 	c.listedOnce = c.listedOnce || whole
 	c.publish(now, false)
-	c.bindWaiting(now)
-	c.tendSlices(now)
 }
 
-func (c *Controller) relist(b *backend, e Entry, now int64) {
-	fresh := !b.listed || b.Condition != Ready || b.Started != e.Started
+func (b *backend) relist(e Entry, now int64, entering bool) {
 	restarted := b.listed && e.Started > b.Started
-	b.Entry, b.listed = e, true
-	if restarted || !fresh && e.Condition == Ready {
-		b.drained = false
+	fresh := !b.listed || b.Condition != Ready || restarted
+	if e.Weight <= 0 {
+		e.Weight = 1
 	}
-	if e.Condition == Draining {
-		b.drained = true
-	}
-	if e.Condition != Ready || !fresh {
+	b.Entry, b.listed = e, true
+	if e.Condition != Ready {
+		b.drained = b.drained || e.Condition == Draining
 		return
 	}
 	b.drained = false
-	if c.listedOnce {
+	if restarted { // another process: what was heard of the old one says nothing
+		b.away, b.backoff, b.fooled, b.strained = false, 0, false, 0
+	}
+	if fresh && entering {
 		b.enteredAt = now
 	}
-	if restarted { // another process: what was heard of the old one says nothing
-		b.away, b.backoff, b.fooled = false, 0, false
+	if fresh {
+		b.forget(now)
 	}
-	b.samples, b.unheard, b.answered = nil, 0, now
 }
 
-// usable tells whether exchanges may go to a backend at all, whatever its score.
+// forget drops what was heard of a backend, so that old failures do not count against a new try.
+func (b *backend) forget(now int64) { b.samples, b.unheard, b.answered = nil, 0, now }
+
+// usable tells whether exchanges may go to a backend at all, whatever its score. Where only draining binds, a
+// list that dropped one which still answers is wrong.
 func (c *Controller) usable(b *backend, now int64) bool {
-	if !b.listed || b.Condition == Draining {
-		return false
-	}
 	if b.Condition == Gone {
-		// Where only draining binds, a list that dropped a backend which still answers is wrong.
 		return c.limits.OnlyDrainingBinds && !b.drained && b.answered > now-replyTimeout && b.line > 0
 	}
-	return true
+	return b.listed && b.Condition == Ready
 }
 
 // ---- reports
@@ -254,10 +242,9 @@
 	if id >= len(c.backends) || tries <= 0 {
 		return
 	}
-	now, b := c.host.Now(), &c.backends[id]
+	now, b := c.host.Now(), c.backends[id]
 	c.reports++
-	s := sample{at: now, tries: tries, failed: failed, took: mean * int64(tries-failed)}
-	b.samples = append(b.samples, s)
+	b.samples = append(b.samples, sample{now, mean * int64(tries-failed), tries, failed})
 	if load.Busy >= 0 || load.Waiting >= 0 {
 		b.load = load
 	}
@@ -270,18 +257,16 @@
 
 // Came is what came to a proxy, refused exchanges and repeats by clients among it.
 func (c *Controller) Came(id, class, count, unanswered int, span int64) {
-	if id >= len(c.proxies) || !c.proxies[id].joined || span <= 0 {
-		return
+	if id < len(c.proxies) && c.proxies[id].joined && span > 0 {
+		smooth(&c.proxies[id].rates[class], float64(count)/float64(span)*float64(second))
 	}
-	smooth(&c.proxies[id].rates[class], float64(count)/float64(span)*float64(second))
 }
 
 func smooth(old *float64, now float64) {
 	if *old == 0 {
 		*old = now
-	} else {
-		*old = (*old + now) / 2
 	}
+	*old = (*old + now) / 2
 }
 
 // ---- proxies
@@ -289,57 +274,44 @@
 // Joined: the proxy holds stale tables until it is bound, so it is bound as soon as the channel has room.
 func (c *Controller) Joined(id, zone int, rate float64) {
 	for len(c.proxies) <= id {
-		c.proxies = append(c.proxies, proxy{})
+		c.proxies = append(c.proxies, &proxy{})
 	}
 	now := c.host.Now()
-	c.proxies[id] = proxy{joined: true, zone: zone, joinedAt: now, rates: make([]float64, len(c.classes))}
+	rates := make([]float64, len(c.classes))
+	c.proxies[id] = &proxy{joined: true, bound: c.owners.exist(), zone: zone, rates: rates}
+	for i := range c.owners.all { // it reads lines from the store, but must hear which writes are held
+		if c.owners.all[i].held > 0 {
+			c.hold(i, c.owners.all[i].owner)
+		}
+	}
 	c.bindWaiting(now)
 }
 
 // Left: the proxy goes on with what it holds; nothing more can be told to it.
 func (c *Controller) Left(id int) {
 	if id < len(c.proxies) {
-		c.proxies[id] = proxy{}
-		c.slicesLost(id)
+		c.proxies[id] = &proxy{leftAt: c.host.Now()}
 	}
 }
 
 // Applied: a message has come through, and with it all that left before it.
 func (c *Controller) Applied(id, mark int, took int64) {
-	now := c.host.Now()
-	c.channel.applied(mark)
-	c.slicesApplied(id, mark, now)
-	c.bindWaiting(now)
+	if id < len(c.proxies) {
+		c.proxies[id].applied = c.channel.applied(mark)
+	}
+	c.bindWaiting(c.host.Now())
 }
 
 // ---- tables
 
-// tables gives the numbers of the tables that hold a backend: the shared one, and the one of its zone where
-// some class must stay in its zone.
-func (c *Controller) tables(zone int) []int {
-	var own, shared bool
-	for _, class := range c.classes {
-		own, shared = own || class.OwnZone, shared || !class.OwnZone
-	}
-	var list []int
-	if shared {
-		list = append(list, 0)
-	}
-	if own {
-		list = append(list, 1+zone)
+// tables hands out the tables that hold a zone's backends, and that its proxies use, with their classes.
+func (c *Controller) tables(zone int, do func(table int, classes uint16)) {
+	if c.shared != 0 {
+		do(0, c.shared)
 	}
-	return list
-}
-
-// mask gives the classes that use a table.
-func (c *Controller) mask(table int) uint16 {
-	mask := uint16(0)
-	for i, class := range c.classes {
-		if class.OwnZone == (table != 0) {
-			mask |= 1 << i
-		}
+	if c.own != 0 {
+		do(1+zone, c.own)
 	}
-	return mask
 }
 
 // share is the part of its listed weight that a backend may carry now.
@@ -349,138 +321,103 @@
 		part = b.strained
 	}
 	if b.enteredAt > 0 && now-b.enteredAt < entryFor {
-		part = entryShare
+		part = min(part, entryShare)
 	}
 	// Rule 4: a cold backend is sent no more than the capacity it surely has, so that every controller
 	// alone keeps it from being pushed over. Steps of a quarter keep the orders few.
-	if age := now - b.Started; b.Started > 0 && age >= 0 && age < c.limits.WarmBy {
-		sure := c.limits.ColdShare + (1-c.limits.ColdShare)*float64(age)/float64(c.limits.WarmBy)
-		step := float64(int(sure*4)) / 4
-		if step == 0 {
-			step = sure
-			if b.line > 0 && b.line < sure*b.Weight {
-				step = b.line / b.Weight
-			}
+	if c.cold(b, now) {
+		sure := c.limits.ColdShare + (1-c.limits.ColdShare)*float64(now-b.Started)/float64(c.limits.WarmBy)
+		if step := float64(int(sure*4)) / 4; step > 0 {
+			part = min(part, step)
+		} else if part = min(part, sure); b.line > 0 {
+			part = min(part, b.line/b.Weight)
 		}
-		part = min(part, step)
 	}
 	return part
 }
 
-// wanted is the weight that a backend should have in our tables.
+func (c *Controller) cold(b *backend, now int64) bool {
+	return b.Started > 0 && b.Started <= now && now-b.Started < c.limits.WarmBy
+}
+
 func (c *Controller) wanted(b *backend, now int64) float64 {
 	if !c.usable(b, now) || b.away && !c.fallback {
 		return 0
 	}
-	weight := b.Weight
-	if weight <= 0 {
-		weight = 1
-	}
-	return weight * c.share(b, now)
+	return b.Weight * c.share(b, now)
 }
 
-// publish lays what differs from the standing tables. What the rules need goes at once: leaving a draining or
-// gone backend, easing off a cold one, filling an empty table. The rest keeps the design's pace.
+// publish lays what differs from the standing tables. What the rules need goes at once: leaving a draining
+// or gone backend, easing off a cold one, filling an empty table. It takes along what waits, as one message
+// costs one header. All else keeps the design's pace.
 func (c *Controller) publish(now int64, ordinary bool) {
-	if len(c.owners) > 0 {
-		c.withdrawals(now)
-		return
-	}
-	if !c.channel.open(c.proxies, now, c.limits.Grace, !ordinary) {
-		return
-	}
-	lines, laid := 0, false
-	for i := range c.backends {
-		lines += count(c.backends[i].line > 0)
-	}
-	for i := range c.backends {
-		// What must go at once takes along what waits, as one message costs one header.
-		b := &c.backends[i]
-		want, cold := c.wanted(b, now), b.Started > 0 && now-b.Started < c.limits.WarmBy
-		ordinary = ordinary || want < b.line && (cold || !c.usable(b, now)) || want > 0 && lines == 0
-	}
-	for _, adding := range []bool{true, false} { // lines come before others go: no table is bare in between
-		for i := range c.backends {
-			want, line := c.wanted(&c.backends[i], now), c.backends[i].line
-			if ordinary && want != line && (want > line) == adding {
-				c.setLine(i, want)
-				laid = true
+	urgent, bare := false, c.laid(-1) == 0
+	for _, b := range c.backends {
+		want, usable := c.wanted(b, now), c.usable(b, now)
+		urgent = urgent || want < b.line && (c.cold(b, now) || !usable) || want > 0 && bare ||
+			b.out != (b.listed && !usable)
+	}
+	if (ordinary || urgent) && c.channel.open(c.proxies, now, c.limits.Grace, urgent) {
+		laid := false
+		for _, adding := range []bool{true, false} { // lines come before others go: no table is bare between
+			for i, b := range c.backends {
+				if want := c.wanted(b, now); want != b.line && (want > b.line) == adding {
+					c.setLine(i, want)
+					laid = true
+				}
 			}
 		}
+		for i, b := range c.backends { // proxies that still hold tables of others stay off these as well
+			if out := b.listed && !c.usable(b, now); out != b.out {
+				b.out = out
+				c.host.Withdraw(i, out)
+				c.billEach(1, func(p *proxy) bool { return !p.bound || c.owners.exist() })
+			}
+		}
+		if c.layLevels() || laid {
+			c.publishedAt = now
+		}
 	}
-	c.withdrawals(now)
-	if ordinary && c.layLevels() || laid {
-		c.publishedAt = now
-	}
+	c.tendSlices(now)
+	c.bindWaiting(now)
 }
 
-func count(yes bool) int {
-	if yes {
-		return 1
+// laid counts the lines that backends of a zone have, or all with zone -1.
+func (c *Controller) laid(zone int) (lines int) {
+	for _, b := range c.backends {
+		lines += count(b.line > 0 && (zone < 0 || b.Zone == zone))
 	}
-	return 0
+	return lines
 }
 
 func (c *Controller) setLine(id int, weight float64) {
-	b := &c.backends[id]
+	b := c.backends[id]
 	b.line = weight
-	for _, table := range c.tables(b.Zone) {
-		c.host.SetLine(table, id, weight)
-		for p := range c.proxies {
-			if q := &c.proxies[p]; q.bound && (table == 0 || q.zone == b.Zone) {
-				c.bill(q, 1)
-			}
-		}
-	}
-}
-
-// withdrawals keeps joined proxies that still hold tables of others off backends that drain or are gone.
-func (c *Controller) withdrawals(now int64) {
-	for i := range c.backends {
-		b := &c.backends[i]
-		out := b.listed && !c.usable(b, now)
-		if out != b.out {
-			b.out = out
-			c.host.Withdraw(i, out)
-			for p := range c.proxies {
-				if c.proxies[p].joined && !c.proxies[p].bound {
-					c.bill(&c.proxies[p], 1)
-				}
-			}
-		}
+	if c.owners.exist() {
+		return // the owner of a slice is its table
 	}
+	c.tables(b.Zone, func(table int, _ uint16) {
+		c.host.SetLine(table, id, weight)
+		c.billEach(1, func(p *proxy) bool { return p.bound && (table == 0 || p.zone == b.Zone) })
+	})
 }
 
 // bindWaiting gives whole tables to proxies that hold those of others, while the channel has room.
 func (c *Controller) bindWaiting(now int64) {
-	if len(c.owners) > 0 {
-		return
-	}
-	var perTable [256 + 1]int
-	for i := range c.backends {
-		if c.backends[i].line > 0 {
-			for _, table := range c.tables(c.backends[i].Zone) {
-				perTable[table]++
-			}
-		}
-	}
-	for i := range c.proxies {
-		p := &c.proxies[i]
+	for i, p := range c.proxies {
 		if !p.joined || p.bound {
 			continue
 		}
-		cost, bare := 0., false
-		for _, table := range c.tables(p.zone) {
-			cost += float64(1 + perTable[table] + c.levels.lines())
-			bare = bare || perTable[table] == 0
-		}
-		if bare || !c.channel.fits(cost+c.channel.Head+1) || !c.channel.may(p, now, false) {
-			continue
-		}
-		p.bound = true
-		c.bill(p, cost)
-		for _, table := range c.tables(p.zone) {
-			c.host.Bind(table, i, c.mask(table))
+		cost, bare := c.channel.Head+1+float64(len(c.classes)), false
+		c.tables(p.zone, func(table int, _ uint16) {
+			lines := c.laid(table - 1)
+			cost += float64(1 + lines)
+			bare = bare || lines == 0
+		})
+		if !bare && c.channel.fits(cost) && c.channel.may(p, now, false) {
+			p.bound = true
+			c.bill(p, cost-c.channel.Head)
+			c.tables(p.zone, func(table int, classes uint16) { c.host.Bind(table, i, classes) })
 		}
 	}
 }
@@ -491,177 +428,150 @@
 func (c *Controller) judge(now int64) {
 	var shares, means []float64
 	listed, away := 0., 0.
-	type verdict struct {
-		id     int
-		dead   bool
-		tries  int
-		failed int
-	}
-	var bad []verdict
-	for i := range c.backends {
-		b := &c.backends[i]
-		b.samples = slices.DeleteFunc(b.samples, func(s sample) bool { return s.at <= now-replyTimeout })
+	for _, b := range c.backends {
+		b.sum(now)
 		if !c.usable(b, now) {
 			continue
 		}
 		listed += b.Weight
 		if b.away {
 			away += b.Weight
-			continue
-		}
-		if tries, failed, took := b.sums(); tries > 0 {
-			shares = append(shares, 1-float64(failed)/float64(tries))
-			if failed < tries {
-				means = append(means, float64(took)/float64(tries-failed))
+		} else if b.tries > 0 {
+			shares = append(shares, b.answers())
+			if b.mean > 0 {
+				means = append(means, b.mean)
 			}
 		}
 	}
-	usual, median := middle(shares, 1), middle(means, 0)
-	good := 0.
-	for i := range c.backends {
-		b := &c.backends[i]
+	usual, median, good := middle(shares, 1), middle(means, 0), 0.
+	var dead, failing []int
+	for i, b := range c.backends {
 		if !c.usable(b, now) || b.away {
 			continue
 		}
-		tries, failed, took := b.sums()
-		answers := 1.
-		if tries > 0 {
-			answers = 1 - float64(failed)/float64(tries)
-		}
-		if answers >= wellAnswered {
+		if b.answers() >= wellAnswered {
 			good += b.Weight
 		}
 		b.score = 1
-		if tries > failed && median > 0 {
-			b.score = float64(took) / float64(tries-failed) / median
-		}
-		// Silence counts only with tries: without them it is we who do not know.
-		silent := b.unheard >= provenSilent
-		dead := silent || tries >= provenSilent && failed == tries
-		// Against the median, and only while that is good: what all share (overload, our own stall) condemns nobody.
-		// A backend that answers, but late, has a queue: it carries too much, which is no reason to send all of
-		// that to the next. Only if others fare far better does it lose part of its weight.
-		if queued := b.score*median >= hotAt*c.levels.expected; !dead && queued {
-			if b.score >= strainAt && tries >= triesToJudge/2 {
+		if b.mean > 0 && median > 0 {
+			b.score = b.mean / median
+		}
+		switch {
+		// Silence counts only with tries: without them it is we who do not know. Answers from before do not
+		// help a backend whose last tries all failed.
+		case b.unheard >= provenSilent || b.tries >= provenSilent && b.failed == b.tries:
+			dead = append(dead, i)
+		// One that answers, but late, has a queue: it carries too much, which is no reason to send all of
+		// it to the next. Only if others fare far better does it lose part of its weight.
+		case b.mean >= hotAt*c.levels.expected:
+			if b.score >= strainAt && b.tries >= triesToJudge/2 {
 				c.strain(i, now)
 			}
-		} else if dead || tries >= triesToJudge && usual >= wellAnswered && answers < usual/2 {
-			b.score = -1
-			bad = append(bad, verdict{i, dead, tries, failed})
+		// Against the median, and only while that is good: what all share condemns nobody.
+		case b.tries >= triesToJudge && usual >= wellAnswered && b.answers() < usual/2:
+			failing = append(failing, i)
 		}
 	}
-	slices.SortStableFunc(bad, func(a, b verdict) int {
-		if a.dead != b.dead {
-			return count(b.dead) - count(a.dead)
-		}
-		return b.failed*a.tries - a.failed*b.tries
-	})
-	for _, v := range bad {
-		b := &c.backends[v.id]
-		most := mostFailing
-		// Guards against a mistaken judgement putting the load of many on a few: the dead may leave in
-		// numbers only while enough others are seen at work.
-		if v.dead && good >= (1-mostDead)*listed {
-			most = mostDead
-		}
-		if away+b.Weight > most*listed {
+	// A mistaken judgement must not put the load of many on a few: the dead may leave in numbers, but only
+	// while enough others are seen at work.
+	most := mostFailing
+	if good >= (1-mostDead)*listed {
+		most = mostDead
+	}
+	away = c.leave(dead, now, away, most*listed)
+	c.leave(failing, now, away, mostFailing*listed)
+}
+
+// leave takes backends out of R while the weight that is away stays under the most that may be.
+func (c *Controller) leave(ids []int, now int64, away, most float64) float64 {
+	for _, id := range ids {
+		b := c.backends[id]
+		b.score = -1
+		if away+b.Weight > most {
 			continue
 		}
 		away += b.Weight
-		b.away = true
-		b.fooled = b.fooled || b.probed
+		b.away, b.fooled = true, b.fooled || b.probed
 		b.backoff = max(firstBackoff, min(2*b.backoff, longestBackoff))
 		b.backAt, b.probedAt = now+b.backoff, now
-		c.logf("backend %d leaves R: %d of %d tries failed, median answered %.2f, back in %d s",
-			v.id, v.failed, v.tries, usual, b.backoff/second)
+		c.logf("backend %d leaves R: %d of %d tries failed, %d s", id, b.failed, b.tries, b.backoff/second)
 	}
-	c.settleFallback(now)
+	return away
 }
 
-// strain takes weight off a backend that answers, but so much later than the others that a queue must stand
-// at it alone: its listed weight is more than it can carry. Taken out whole, its load would strain the next
-// one. It guards against rough weights, slow machines and half-dead ones; where times differ by nature and
-// are near the expected time, it would shift load for nothing.
-func (c *Controller) strain(id int, now int64) {
-	b := &c.backends[id]
-	if b.strained == 0 {
-		b.strained = 1
-		c.logf("backend %d strained: answers take %.1f times the median", id, b.score)
-	}
-	b.strained = max(b.strained*strainStep, entryShare)
-	b.easeWait = max(firstBackoff, min(2*b.easeWait, longestBackoff))
-	b.easeAt = now + b.easeWait
-	b.samples = nil
-}
-
-func (b *backend) sums() (tries, failed int, took int64) {
+func (b *backend) sum(now int64) {
+	b.samples = slices.DeleteFunc(b.samples, func(s sample) bool { return s.at <= now-replyTimeout })
+	took := int64(0)
+	b.tries, b.failed, b.mean = 0, 0, 0
 	for _, s := range b.samples {
-		tries, failed, took = tries+s.tries, failed+s.failed, took+s.took
+		b.tries, b.failed, took = b.tries+s.tries, b.failed+s.failed, took+s.took
+	}
+	if b.failed < b.tries {
+		b.mean = float64(took) / float64(b.tries-b.failed)
 	}
-	return
 }
 
+func (b *backend) answers() float64 { return 1 - float64(b.failed)/float64(max(b.tries, 1)) }
+
 func middle(values []float64, none float64) float64 {
-	if len(values) == 0 {
-		return none
+	if slices.Sort(values); len(values) > 0 {
+		return values[len(values)/2]
 	}
-	slices.Sort(values)
-	return values[len(values)/2]
+	return none
 }
 
-// settleFallback publishes all when R is empty: B random ones, B being the listed count.
-func (c *Controller) settleFallback(now int64) {
-	r, usable := 0, 0
-	for i := range c.backends {
-		if b := &c.backends[i]; c.usable(b, now) {
-			usable++
-			r += count(!b.away)
-		}
-	}
-	if empty := r == 0 && usable > 0; empty != c.fallback {
-		c.fallback = empty
-		c.logf("R empty: %v, %d backends usable", empty, usable)
+// strain takes weight off a backend that answers, but so much later than others that a queue must stand at
+// it alone: its listed weight is more than it can carry. Guards against rough weights, slow machines and
+// half-dead ones; where times differ by nature and near the expected time, it shifts load for nothing.
+func (c *Controller) strain(id int, now int64) {
+	b := c.backends[id]
+	if b.strained == 0 {
+		b.strained = 1
+		c.logf("backend %d strained: answers take %.1f times the median", id, b.score)
 	}
+	b.strained = max(b.strained*strainStep, entryShare)
+	b.widenEvery = max(firstBackoff, min(2*b.widenEvery, longestBackoff))
+	b.widenAt = now + b.widenEvery
+	b.samples = nil
 }
 
-// returns brings withdrawn backends back after their time, at the entry share.
+// returns brings withdrawn backends back after their time, or probes them, and widens strained ones. When
+// R is empty all are published: B random ones, B being the listed count.
 func (c *Controller) returns(now int64) {
-	for i := range c.backends {
-		b := &c.backends[i]
+	r, usable := 0, 0
+	for i, b := range c.backends {
 		if b.away && now >= b.backAt {
 			c.comeBack(i, now, false)
+		} else if b.away && c.sight.MayProbe && !b.fooled && now-b.probedAt >= probeEvery {
+			b.probedAt = now
+			c.host.Probe(i)
 		}
-		if b.strained > 0 && now >= b.easeAt {
-			b.easeAt = now + b.easeWait
-			if b.strained /= strainStep; b.strained > 0.99 {
+		if b.strained > 0 && now >= b.widenAt {
+			b.widenAt = now + b.widenEvery
+			if b.strained /= strainStep; b.strained > 1-sameLevel {
 				b.strained = 0
 			}
 		}
+		if c.usable(b, now) {
+			usable++
+			r += count(!b.away)
+		}
+	}
+	if empty := r == 0 && usable > 0; empty != c.fallback {
+		c.fallback = empty
+		c.logf("R empty: %v, %d backends usable", empty, usable)
 	}
-	c.settleFallback(now)
 }
 
 func (c *Controller) comeBack(id int, now int64, probed bool) {
-	b := &c.backends[id]
+	b := c.backends[id]
 	b.away, b.probed, b.enteredAt = false, probed, now
-	b.samples, b.unheard, b.answered = nil, 0, now
-	c.logf("backend %d returns to R, probed %v", id, probed)
+	b.forget(now)
+	c.logf("backend %d returns to R, probed %v, after %d s", id, probed, b.backoff/second)
 }
 
-// probe looks at withdrawn backends.
-func (c *Controller) probe(now int64) {
-	if !c.sight.MayProbe {
-		return
-	}
-	for i := range c.backends {
-		if b := &c.backends[i]; b.away && !b.fooled && b.Condition == Ready && now-b.probedAt >= probeEvery {
-			b.probedAt = now
-			c.host.Probe(i)
-		}
-	}
-}
-
-// Probed is how a probe ended. A pass shows that the process runs; if the return fails, it is not believed again.
+// Probed is how a probe ended. A pass shows little more than that the process runs: once such a return has
+// failed, the probes of that backend are believed no longer.
 func (c *Controller) Probed(id int, outcome Outcome, took int64) {
 	if id < len(c.backends) && outcome == Answered && c.backends[id].away && !c.backends[id].fooled {
 		c.comeBack(id, c.host.Now(), true)
@@ -670,22 +580,20 @@
 
 // ---- levels
 
-// admission is what we let in, in units: an exchange counts its expected time in seconds, as no setting gives
-// its work.
+// admission is what we let in, in units: an exchange counts its expected time, as nothing gives its work.
 type admission struct {
-	how                  Admission
-	order                []int // classes by importance per unit, the first to be let in
-	units                []float64
-	expected             float64 // expected time of the mean exchange let in, microseconds
-	limit                float64 // units a second; 0 while all are let in
-	part                 float64 // of what is able to be answered; 0 while all are let in
-	base                 float64 // heat when no queue stands
-	outer                float64 // longest outer limit, microseconds
-	bound                bool
-	drainedAt, holdUntil int64
-	able                 float64 // units a second and listed weight that were answered while a queue stood
-	laid                 []float64
-	want                 []float64
+	how        Admission
+	order      []int // classes by importance per unit, the first to be let in
+	units      []float64
+	outer      float64 // longest outer limit, microseconds
+	expected   float64 // expected time of the mean exchange let in, microseconds
+	able       float64 // units a second that each listed weight answered while a queue stood
+	part       float64 // of what is able to be answered; 0 until a queue was seen
+	limit      float64 // units a second
+	bound      bool    // more comes than that
+	laid, want []float64
+
+	drainedAt, holdUntil int64 // when the queue must be gone, and when reports show it
 }
 
 func newAdmission(how Admission, classes []Class) admission {
@@ -710,155 +618,156 @@
 	return b.line
 }
 
-// laidWeight is the weight that all lines in use stand for.
-func (c *Controller) laidWeight() float64 {
-	sum := 0.
-	for i := range c.backends {
-		sum += c.backends[i].carried()
-	}
-	return sum
-}
-
-func (a *admission) lines() int {
-	n := 0
-	for _, x := range a.laid {
-		n += count(x > 0)
-	}
-	return n
-}
-
-// steer sets how much is let in. When answers on the whole take so long that a queue must stand everywhere,
-// only as much is let in as was answered, less a part that lets the queue shrink.
-func (c *Controller) steer(now int64) {
+// look sums up the reports since the last: heat, the units a second that came, passed the levels and were
+// answered, and the listed weight behind our lines, and behind those that answered.
+func (c *Controller) look(now int64) (heat, came, let, proven, laid, heard float64) {
 	a := &c.levels
-	if a.how == AdmitNone {
-		return
-	}
-	tries, answers, took, weight := 0, 0, 0., 0.
-	for i := range c.backends {
-		b := &c.backends[i]
-		late, failed := 0., 0
-		answered := 0
+	tries, answers, took := 0, 0, 0.
+	for _, b := range c.backends {
+		laid += b.carried()
+		answered, failed, late := 0, 0, 0.
 		for _, s := range b.samples {
 			if s.at > c.lookedAt {
-				answered, late = answered+s.tries-s.failed, late+float64(s.took)
-				failed += s.failed
+				answered, failed, late = answered+s.tries-s.failed, failed+s.failed, late+float64(s.took)
 			}
 		}
-		tries, answers, took = tries+answered, answers+answered, took+late
-		if answered > 0 {
-			weight += b.carried()
+		if answered == 0 {
+			continue
 		}
+		tries, answers, took, heard = tries+answered, answers+answered, took+late, heard+b.carried()
 		// Failures of a backend that answers late are time-outs in its queue, and say how long that is.
-		if answered > 0 && late/float64(answered) > calmAt*a.expected {
+		if late/float64(answered) > calmAt*a.expected {
 			tries, took = tries+failed, took+float64(failed)*a.outer/2
 		}
 	}
-	came, let, letUnits := 0., 0., 0.
+	exchanges := 0.
 	for class := range c.classes {
-		for i := range c.proxies {
-			if p := &c.proxies[i]; p.joined {
-				r := p.rates[class]
-				came += r * a.units[class]
-				if a.laid[class] > 0 {
-					r = min(r, a.laid[class])
-				}
-				let += r
-				letUnits += r * a.units[class]
+		for _, r := range c.demand(class) {
+			came += r * a.units[class]
+			if a.laid[class] > 0 && a.how == AdmitRate {
+				r = min(r, a.laid[class])
+			} else if a.laid[class] > 0 {
+				r *= a.laid[class]
 			}
+			exchanges += r
+			let += r * a.units[class]
 		}
 	}
-	if tries == 0 || let == 0 {
-		return
+	if tries > 0 && exchanges > 0 {
+		a.expected = let / exchanges * float64(second)
+		heat = took / float64(tries) / a.expected
+		// Reports that a stall of ours held back come together, and are counted over the whole time.
+		proven = float64(answers) / float64(now-c.lookedAt) * a.expected
+	}
+	return
+}
+
+// demand is what comes to each joined proxy; for slices it is spread evenly, as nothing says who sent it.
+func (c *Controller) demand(class int) (rates []float64) {
+	for _, p := range c.proxies {
+		if p.joined {
+			rates = append(rates, p.rates[class])
+		}
 	}
-	perExchange := letUnits / let // the expected time of the mean exchange let in, seconds
-	a.expected = perExchange * float64(second)
-	heat := took / float64(tries) / a.expected
-	if a.base == 0 || heat < a.base || now-c.started < replyTimeout {
-		a.base = heat
+	for _, s := range c.owners.all {
+		for i := 0; s.mine && i < len(rates); i++ {
+			rates[i] += s.rates[class] / float64(len(rates))
+		}
 	}
-	a.base *= baseDrift
-	// Reports that a stall of ours held back come together, and are counted over the whole time.
-	proven := float64(answers) / float64(now-c.lookedAt) * float64(second) * perExchange
-	was, lag := a.bound, c.sight.ReportEvery+c.channel.LongestWay+second
+	return rates
+}
+
+// steer settles how much is let in, and tells whether a cut was found. When answers on the whole take so
+// long that a queue stands nearly everywhere, what was answered meanwhile is what the fleet can do. That,
+// less the queue, is let in while it drains, and then most of it without waiting for reports. Guards against
+// bursts, slowdowns, lost zones and repeats by clients; hurts where answers are slow for no reason of load.
+func (c *Controller) steer(now int64) bool {
+	a := &c.levels
+	heat, came, let, proven, laid, heard := c.look(now)
+	if heat == 0 || heard == 0 || a.how == AdmitNone {
+		return false
+	}
+	was, lag, cut := a.bound, c.sight.ReportEvery+c.channel.LongestWay+second, false
 	switch {
-	case weight == 0 || now < a.holdUntil: // what was ordered is not yet seen
+	case now < a.holdUntil:
 	case heat > hotAt && !c.idle():
-		smooth(&a.able, proven/weight)
-		// The queue that stands before a new exchange, in seconds of work, with what came while we did not know.
-		queue := (heat-min(a.base, calmAt))*perExchange + max(0, letUnits/(a.able*weight)-1)*float64(lag)/float64(second)
-		a.part = max(deepCut, leastCut-queue/(float64(drain)/float64(second)))
-		a.drainedAt, a.holdUntil = now+drain, now+drain+lag
-	case a.part > 0 && came > a.limit && heat < calmAt:
-		if heat < atRest*a.base {
-			a.part *= easeFast
-		} else {
-			a.part *= easeUp
-		}
-	case a.part > 0 && came > a.limit:
-		a.part *= easeDown
+		smooth(&a.able, proven/heard)
+		// The queue before a new exchange, in seconds of work, with what came while we did not know.
+		queue := (heat - restAt) * a.expected / float64(second)
+		queue += max(0, let/(a.able*heard)-1) * float64(lag) / float64(second)
+		a.part = max(deepestCut, leastCut-queue*float64(second)/float64(drain))
+		a.drainedAt, a.holdUntil, cut = now+drain, now+drain+lag, true
+	case a.part > 0 && came <= a.limit:
+		a.able = max(a.able, proven/laid)
+	case a.part > 0 && heat < calmAt:
+		a.part *= easeUp
 	case a.part > 0:
-		a.able = max(a.able, proven/c.laidWeight())
+		a.part *= easeDown
 	}
-	a.limit = a.part * a.able * c.laidWeight()
+	a.limit = a.part * a.able * laid
 	if a.bound = a.part > 0 && came > a.limit; was != a.bound {
-		c.logf("limit bound %v at %.1f units/s: answers take %.2f of the expected time, %.1f come, %.1f answered",
+		c.logf("limit bound %v at %.1f units/s: heat %.2f, %.1f come, %.1f answered",
 			a.bound, a.limit, heat, came, proven)
 	}
 	c.setLevels()
-	if a.drainedAt == now+drain { // a cut just found cannot wait for its turn
-		c.publish(now, true)
+	return cut
+}
+
+// drained ends a cut once the queue must be gone, though no report says so yet.
+func (c *Controller) drained(now int64) bool {
+	a := &c.levels
+	if a.drainedAt == 0 || now < a.drainedAt {
+		return false
 	}
+	a.limit *= leastCut / a.part
+	a.drainedAt, a.part = 0, leastCut
+	c.setLevels()
+	return true
 }
 
-// idle tells whether the backends themselves say that nothing waits: then slow answers come from proxies that
-// stand still, or from the way, and letting less in would not help. Where they say nothing, it is false.
+// idle tells whether the backends themselves say that nothing waits: then slow answers come from proxies
+// that stand still, or from the way, and letting less in would not help. Where they say nothing, it is false.
 func (c *Controller) idle() bool {
 	n, busy, waiting := 0., 0., 0.
-	for i := range c.backends {
-		if b := &c.backends[i]; b.line > 0 && b.answered > c.lookedAt && b.load != (Load{}) {
+	for _, b := range c.backends {
+		if b.line > 0 && b.answered > c.lookedAt && b.load != (Load{}) {
 			n, busy, waiting = n+1, busy+b.load.Busy, waiting+b.load.Waiting
 		}
 	}
-	return n > 0 && (busy >= 0 && busy < idleBusy*n || waiting >= 0 && waiting < idleWaiting*n)
+	return n > 0 && (busy >= 0 && busy < idleAt*n || waiting >= 0 && waiting < idleAt*n)
 }
 
-// setLevels shares the limit out, importance first; a class is cut at its busiest proxies.
+// setLevels shares the limit out, importance first; a class is cut at its busiest proxies, so that repeats by
+// clients of a busy proxy are not taken for demand.
 func (c *Controller) setLevels() {
 	a := &c.levels
 	left := a.limit
 	for _, class := range a.order {
 		a.want[class] = 0
-		if a.limit == 0 {
-			continue
+		rates, total := c.demand(class), 0.
+		for _, r := range rates {
+			total += r
 		}
-		var rates []float64
-		total := 0.
-		for i := range c.proxies {
-			if p := &c.proxies[i]; p.joined {
-				rates = append(rates, p.rates[class])
-				total += p.rates[class]
-			}
+		part := max(left/a.units[class], leastLet*total)
+		if a.limit == 0 || part >= total {
+			left -= total * a.units[class]
+			continue
 		}
-		part := min(total, max(left/a.units[class], 0.05*total))
 		left -= part * a.units[class]
-		if a.how == AdmitShare {
-			a.want[class] = part / max(total, 1e-9)
-		} else if part < total {
-			a.want[class] = max(waterline(rates, part), 0.01)
+		if a.want[class] = part / total; a.how == AdmitRate {
+			a.want[class] = waterline(rates, part)
 		}
 	}
 }
 
-// waterline is the cap at which capped rates add up to the total wanted.
+// waterline is the cap at which capped rates add up to a total below theirs.
 func waterline(rates []float64, total float64) float64 {
 	slices.Sort(rates)
 	for i, r := range rates {
 		if rest := float64(len(rates) - i); r*rest >= total {
 			return total / rest
-		} else {
-			total -= r
 		}
+		total -= r
 	}
 	return unlimited
 }
@@ -868,152 +777,250 @@
 	a, laid := &c.levels, false
 	for class := range c.classes {
 		want, old := a.want[class], a.laid[class]
-		if want == old || want > 0 && old > 0 && want < 1.05*old && want > 0.95*old {
+		if want == old || old > 0 && want < (1+sameLevel)*old && want > (1-sameLevel)*old {
 			continue
 		}
-		a.laid[class] = want
+		a.laid[class], laid = want, true
 		allowance, tries := want, TryOnce // a further try would only add to the queue
 		if want == 0 {
 			allowance, tries = unlimited, TryAfterProof
 		}
-		for table := range 1 + c.sight.Zones {
-			if mask := c.mask(table) & (1 << class); mask != 0 {
-				c.host.Admit(table, mask, allowance, tries)
-				laid = true
-			}
-		}
-		for i := range c.proxies {
-			if c.proxies[i].bound {
-				c.bill(&c.proxies[i], 1)
-			}
-		}
+		c.host.Admit(AllTables, 1<<class, allowance, tries)
+		c.billEach(1, func(*proxy) bool { return true })
 	}
 	return laid
 }
 
 // ---- the channel
 
-// ledger counts what may still wait in the channel: all lines ordered of which no mark has come back. It counts
-// lines on their way as well, so it holds on days when the channel is slow.
+// ledger counts what may still wait in the channel: all lines ordered of which no mark has come back, so it
+// holds on days when the channel is slow.
 type ledger struct {
 	Channel
-	lines float64
-	wait  []order
-	mark  int
+	lines   float64
+	waiting []order
+	count   int64 // orders so far; a mark is its low 16 bits
 }
 
-// order is what one clock time's orders cost.
 type order struct {
-	mark    int
-	at      int64
-	lines   float64
-	reached int
+	count, at int64
+	lines     float64
+	reached   int
 }
 
 // bill counts lines to a proxy, and with the first at this clock time the message and its mark.
 func (c *Controller) bill(p *proxy, lines float64) {
 	l, now := &c.channel, c.host.Now()
-	if n := len(l.wait); n == 0 || l.wait[n-1].at != now {
-		l.mark = (l.mark + 1) & 0xffff
-		l.wait = append(l.wait, order{mark: l.mark, at: now})
-		c.host.Mark(l.mark, false)
+	if n := len(l.waiting); n == 0 || l.waiting[n-1].at != now {
+		l.count++
+		l.waiting = append(l.waiting, order{count: l.count, at: now})
+		c.host.Mark(int(l.count&0xffff), false)
 	}
-	o := &l.wait[len(l.wait)-1]
+	o := &l.waiting[len(l.waiting)-1]
 	if n := len(p.sent); n == 0 || p.sent[n-1] != now {
 		p.sent = append(p.sent, now)
 		o.reached++
-		lines += l.Head + 1
+		lines += l.Head + 1 + float64(len(c.classes)) // the levels for all tables go along
 	}
 	o.lines += lines
 	l.lines += lines
 }
 
-func (l *ledger) applied(mark int) {
-	for i := range l.wait {
-		if o := &l.wait[i]; o.mark == mark {
-			gone := o.lines / float64(max(o.reached, 1))
-			o.lines -= gone
+// billEach counts lines to each joined proxy that they concern.
+func (c *Controller) billEach(lines float64, concerned func(p *proxy) bool) {
+	for _, p := range c.proxies {
+		if p.joined && concerned(p) {
+			c.bill(p, lines)
+		}
+	}
+}
+
+// applied takes a mark that came back, and gives the number of the orders that carried it.
+func (l *ledger) applied(mark int) int64 {
+	number := l.count - (l.count-int64(mark))&0xffff
+	for i := range l.waiting {
+		if o := &l.waiting[i]; o.count == number {
+			o.lines -= o.lines / float64(max(o.reached, 1))
 			o.reached--
 			l.drop(i + count(o.reached <= 0))
-			return
+			break
 		}
 	}
+	return number
 }
 
 // drop forgets the first orders and adds up the rest.
 func (l *ledger) drop(n int) {
-	l.wait = l.wait[n:]
+	l.waiting = l.waiting[n:]
 	l.lines = 0
-	for _, o := range l.wait {
+	for _, o := range l.waiting {
 		l.lines += o.lines
 	}
 }
 
-// expire forgets orders whose marks will not come: the proxies are lost or stand still. It allows for a channel
-// at a quarter of its usual speed.
+// expire forgets orders whose marks will not come, as proxies are lost or stand still. It allows for a
+// channel at a quarter of its usual speed.
 func (l *ledger) expire(now int64) {
-	for len(l.wait) > 0 {
-		o := l.wait[0]
-		if now-o.at < l.LongestWay+2*second+int64(4*l.lines/l.LinesPerS*float64(second)) {
+	for len(l.waiting) > 0 {
+		patience := l.LongestWay + 2*second + int64(4*l.lines/max(l.LinesPerS, 1)*float64(second))
+		if now-l.waiting[0].at < patience {
 			return
 		}
 		l.drop(1)
 	}
 }
 
-// fits tells whether a whole table may go: the design lets these wait while half the backlog is in use.
+// fits tells whether a whole table may go: these wait while half the backlog is in use.
 func (l *ledger) fits(cost float64) bool { return l.lines == 0 || l.lines+cost <= l.Backlog/2 }
 
-// may tells whether a proxy may be sent one more message. Half of what is allowed is kept for what the rules need.
+// may tells whether a proxy may be sent one more message. Half of those allowed are kept for what is urgent.
 func (l *ledger) may(p *proxy, now int64, urgent bool) bool {
 	p.sent = slices.DeleteFunc(p.sent, func(at int64) bool { return at <= now-l.MessagesSpan-l.LongestWay })
 	if l.MessagesMost == 0 || len(p.sent) > 0 && p.sent[len(p.sent)-1] == now {
 		return true
 	}
-	if urgent {
-		return len(p.sent) < l.MessagesMost
-	}
-	return len(p.sent) < l.MessagesMost/2
+	return len(p.sent) < l.MessagesMost/2 || urgent && len(p.sent) < l.MessagesMost
 }
 
 // open tells whether changes may go to all bound proxies now. Urgent ones that come one by one, as when a
-// zone's backends drop from the list, wait for each other as long as the grace bears it twice: sent singly they
-// used up the messages that a proxy may be written, and the last had to wait.
-func (l *ledger) open(proxies []proxy, now, grace int64, urgent bool) bool {
+// zone drops from the list, wait for each other as long as the grace bears it twice: sent singly they used up
+// the messages that a proxy may be written, and the last had to wait.
+func (l *ledger) open(proxies []*proxy, now, grace int64, urgent bool) bool {
 	gap := min((grace-l.LongestWay-beat)/2, l.MessagesSpan/int64(max(l.MessagesMost, 1)))
-	most := l.Backlog / 2
-	if urgent {
-		most = l.Backlog * 3 / 4
-	}
-	if l.lines > most {
+	if l.lines > l.Backlog/2 && !urgent || l.lines > l.Backlog*3/4 {
 		return false
 	}
-	for i := range proxies {
-		p := &proxies[i]
-		if p.bound && !l.may(p, now, urgent) {
-			return false
-		}
-		if n := len(p.sent); p.bound && l.MessagesMost > 0 && n > 0 && p.sent[n-1] < now && p.sent[n-1]+gap > now {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(proxies, func(p *proxy) bool {
+		last := p.sent[max(0, len(p.sent)-1):]
+		waits := l.MessagesMost > 0 && len(last) > 0 && last[0] < now && last[0]+gap > now
+		return p.bound && (waits || !l.may(p, now, urgent))
+	})
 }
 
 // ---- slices
 
-// slice is one part of the keys, with its owner.
+// ownership is what we hold of the slices in our charge. A slice's table is one line, its owner.
+type ownership struct {
+	Partition
+	all    []slice
+	writes uint16
+}
+
 type slice struct {
-	mine  bool
-	owner int
+	mine   bool
+	owner  int       // -1 for none
+	rates  []float64 // exchanges a second, by class
+	held   int64     // the orders that stopped writes; 0 if they go on
+	freeAt int64     // when the former owner has none in hand; 0 while some proxy may still send it one
+}
+
+func newOwnership(p Partition, classes []Class) ownership {
+	o := ownership{Partition: p, all: make([]slice, p.Count)}
+	for i, class := range classes {
+		if class.Writes {
+			o.writes |= 1 << i
+		}
+	}
+	return o
+}
+
+func (o *ownership) exist() bool { return len(o.all) > 0 }
+
+// SliceGiven puts a slice in our charge; its lines follow.
+func (c *Controller) SliceGiven(id int) {
+	c.owners.all[id] = slice{mine: true, owner: -1, rates: make([]float64, len(c.classes))}
+}
+
+func (c *Controller) SliceTaken(id int) { c.owners.all[id] = slice{} }
+
+// SliceLine is a line of a slice's table as the store holds it.
+func (c *Controller) SliceLine(id, backend int, weight float64) {
+	if s := &c.owners.all[id]; s.mine && weight > 0 {
+		s.owner = backend
+	}
 }
 
-func newSlices(p Partition) []slice { return make([]slice, p.Count) }
+func (c *Controller) SliceCame(id, class, count int, span int64) {
+	if s := &c.owners.all[id]; s.mine && span > 0 {
+		smooth(&s.rates[class], float64(count)/float64(span)*float64(second))
+	}
+}
 
-func (c *Controller) SliceCame(id, class, count int, span int64) {}
-func (c *Controller) SliceGiven(id int)                          {}
-func (c *Controller) SliceTaken(id int)                          {}
-func (c *Controller) SliceLine(id, backend int, weight float64)  {}
-func (c *Controller) slicesLost(proxy int)                       {}
-func (c *Controller) slicesApplied(proxy, mark int, now int64)   {}
-func (c *Controller) tendSlices(now int64)                       {}
+// tendSlices gives slices owners that can serve them. Where a slice has a single owner, rule 2: its writes
+// stop as it moves, and go on when every proxy has said so, or has been lost for as long as it would go on
+// writing, and what it had sent is settled.
+func (c *Controller) tendSlices(now int64) {
+	o := &c.owners
+	for id := range o.all {
+		s := &o.all[id]
+		if s.held > 0 && c.settled(s, now) {
+			s.held = 0
+			c.host.SetLine(id, s.owner, 1)
+			c.host.Admit(id, o.writes, unlimited, TryAfterProof)
+			c.billEach(2, func(*proxy) bool { return true })
+		}
+		from, to := s.owner, c.successor(s, now)
+		if to < 0 || s.held > 0 || !c.channel.open(c.proxies, now, c.limits.Grace, true) {
+			continue
+		}
+		if s.owner = to; o.SingleOwner && from >= 0 {
+			c.hold(id, from)
+			continue
+		}
+		c.host.SetLine(id, to, 1)
+		if from >= 0 {
+			c.host.SetLine(id, from, 0)
+		}
+		c.billEach(2, func(*proxy) bool { return true })
+	}
+}
+
+// hold stops writes to a slice until its move has settled; reads go on at the new owner where levels work.
+func (c *Controller) hold(id, from int) {
+	s := &c.owners.all[id]
+	if c.levels.how == AdmitNone {
+		c.host.SetLine(id, from, 0)
+	} else {
+		c.host.SetLine(id, s.owner, 1)
+		c.host.Admit(id, c.owners.writes, 0, TryOnce)
+	}
+	c.billEach(2, func(*proxy) bool { return true })
+	s.held, s.freeAt = c.channel.count, 0
+}
+
+// settled tells whether no write can be in hand at a former owner any more.
+func (c *Controller) settled(s *slice, now int64) bool {
+	for _, p := range c.proxies {
+		if p.joined && p.applied < s.held || p.leftAt > 0 && now-p.leftAt < c.owners.WritesOn {
+			s.freeAt = 0
+			return false
+		}
+	}
+	if s.freeAt == 0 {
+		s.freeAt = now + c.owners.Settle
+	}
+	return now >= s.freeAt
+}
+
+// successor is the backend that a slice must go to, with least to do for its weight; -1 if it may stay.
+func (c *Controller) successor(s *slice, now int64) int {
+	best, least := -1, 0.
+	if !s.mine || s.owner >= 0 && s.owner < len(c.backends) && c.wanted(c.backends[s.owner], now) > 0 {
+		return best
+	}
+	load := make([]float64, len(c.backends))
+	for _, t := range c.owners.all {
+		if t.mine && t.owner >= 0 && t.owner < len(load) {
+			load[t.owner]++
+			for class, rate := range t.rates {
+				load[t.owner] += rate * c.levels.units[class]
+			}
+		}
+	}
+	for i, b := range c.backends {
+		if w := c.wanted(b, now); w > 0 && (best < 0 || load[i]/w < least) {
+			best, least = i, load[i]/w
+		}
+	}
+	return best
+}
--- a/decide/host.go
+++ b/decide/host.go
@@ -24,6 +24,9 @@
 	Mark(number int, everyone bool)
 }
 
+// AllTables, given to Admit, means every table of every joined proxy.
+const AllTables = 0xffff
+
 // Condition is what the list says of a backend.
 type Condition uint8
 
