--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -47,6 +47,7 @@
 func create(instance uint16, size int) []byte {
 	r := make([]byte, 19)
 	binary.LittleEndian.PutUint16(r[1:], instance)
+	r[3] = 7 // the seed
 	binary.LittleEndian.PutUint32(r[15:], uint32(size))
 	return r
 }
