Stories of the module, and a way back for strained backends

Cause found by a story: several steps of strain in one descent doubled the wait each time, so the weight was not back after 90 s. Waits now double only when a widening failed. A dropped backend keeps its weight where only draining binds.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -88,6 +88,7 @@
 	probed, fooled      bool    // its last return was on a passed probe; such a return failed
 	strained            float64 // part of the listed weight that it is left with; 0 for all of it
 	widenAt, widenEvery int64
+	widened             bool // since it was last strained
 }
 
 // sample is one report line; took is the total time of the answered ones.
@@ -177,12 +178,10 @@
 	c.askAt = c.host.Now() + int64(float64(c.askWait)*(0.5+c.chance()))
 }
 
-// Listed takes in the list: whole, or what changed; a remembered one may be out of date.
-func (c *Controller) Listed(whole, remembered bool, entries []Entry) {
+// Listed takes in the list: whole, or what changed.
+func (c *Controller) Listed(whole bool, entries []Entry) {
 	now := c.host.Now()
-	if !remembered {
-		c.askWait = 0
-	}
+	c.askWait = 0
 	seen := make([]bool, len(c.backends))
 	for _, e := range entries {
 		for len(c.backends) <= e.Backend {
@@ -206,6 +205,9 @@
 	if e.Weight <= 0 {
 		e.Weight = 1
 	}
+	if b.listed && e.Condition == Gone { // its line may stand on, see usable
+		e.Weight = b.Weight
+	}
 	b.Entry, b.listed = e, true
 	if e.Condition != Ready {
 		b.drained = b.drained || e.Condition == Draining
@@ -237,8 +239,8 @@
 
 // ---- reports
 
-// Heard is what proxies of one zone met at a backend.
-func (c *Controller) Heard(zone, id, tries, failed int, mean, span int64, load Load) {
+// Heard is what our proxies of some zone met at a backend.
+func (c *Controller) Heard(id, tries, failed int, mean int64, load Load) {
 	if id >= len(c.backends) || tries <= 0 {
 		return
 	}
@@ -256,7 +258,7 @@
 }
 
 // Came is what came to a proxy, refused exchanges and repeats by clients among it.
-func (c *Controller) Came(id, class, count, unanswered int, span int64) {
+func (c *Controller) Came(id, class, count int, span int64) {
 	if id < len(c.proxies) && c.proxies[id].joined && span > 0 {
 		smooth(&c.proxies[id].rates[class], float64(count)/float64(span)*float64(second))
 	}
@@ -272,7 +274,7 @@
 // ---- proxies
 
 // Joined: the proxy holds stale tables until it is bound, so it is bound as soon as the channel has room.
-func (c *Controller) Joined(id, zone int, rate float64) {
+func (c *Controller) Joined(id, zone int) {
 	for len(c.proxies) <= id {
 		c.proxies = append(c.proxies, &proxy{})
 	}
@@ -295,7 +297,7 @@
 }
 
 // Applied: a message has come through, and with it all that left before it.
-func (c *Controller) Applied(id, mark int, took int64) {
+func (c *Controller) Applied(id, mark int) {
 	if id < len(c.proxies) {
 		c.proxies[id].applied = c.channel.applied(mark)
 	}
@@ -530,8 +532,10 @@
 		c.logf("backend %d strained: answers take %.1f times the median", id, b.score)
 	}
 	b.strained = max(b.strained*strainStep, entryShare)
-	b.widenEvery = max(firstBackoff, min(2*b.widenEvery, longestBackoff))
-	b.widenAt = now + b.widenEvery
+	if b.widened || b.widenEvery == 0 {
+		b.widenEvery = max(firstBackoff, min(2*b.widenEvery, longestBackoff))
+	}
+	b.widenAt, b.widened = now+b.widenEvery, false
 	b.samples = nil
 }
 
@@ -547,15 +551,13 @@
 			c.host.Probe(i)
 		}
 		if b.strained > 0 && now >= b.widenAt {
-			b.widenAt = now + b.widenEvery
+			b.widenAt, b.widened = now+b.widenEvery, true
 			if b.strained /= strainStep; b.strained > 1-sameLevel {
 				b.strained = 0
 			}
 		}
-		if c.usable(b, now) {
-			usable++
-			r += count(!b.away)
-		}
+		usable += count(c.usable(b, now))
+		r += count(c.usable(b, now) && !b.away)
 	}
 	if empty := r == 0 && usable > 0; empty != c.fallback {
 		c.fallback = empty
@@ -572,7 +574,7 @@
 
 // Probed is how a probe ended. A pass shows little more than that the process runs: once such a return has
 // failed, the probes of that backend are believed no longer.
-func (c *Controller) Probed(id int, outcome Outcome, took int64) {
+func (c *Controller) Probed(id int, outcome Outcome) {
 	if id < len(c.backends) && outcome == Answered && c.backends[id].away && !c.backends[id].fooled {
 		c.comeBack(id, c.host.Now(), true)
 	}
@@ -858,8 +860,7 @@
 	}
 }
 
-// expire forgets orders whose marks will not come, as proxies are lost or stand still. It allows for a
-// channel at a quarter of its usual speed.
+// expire forgets orders whose marks will not come, even at a quarter of the channel's usual speed.
 func (l *ledger) expire(now int64) {
 	for len(l.waiting) > 0 {
 		patience := l.LongestWay + 2*second + int64(4*l.lines/max(l.LinesPerS, 1)*float64(second))
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,432 @@
+package decide
+
+import (
+	"slices"
+	"testing"
+)
+
+func TestStart(t *testing.T) {
+	t.Run("nothing is withdrawn while nothing is heard", func(t *testing.T) {
+		s := begin(t, usual(), 6, 3)
+		s.plays(40, nil)
+		for b := range 6 {
+			s.weight(b, 2, "after silence")
+		}
+		if !s.bound["2 0 3"] || len(s.levels) > 0 {
+			t.Errorf("bound %v, levels %v", s.bound, s.levels)
+		}
+	})
+	t.Run("a proxy is bound only once there are lines", func(t *testing.T) {
+		s := begin(t, usual(), 0, 2)
+		s.plays(3, nil)
+		if len(s.bound) > 0 {
+			t.Fatal("bound without lines")
+		}
+		s.c.Listed(true, []Entry{{Backend: 0, Condition: Ready, Weight: 1}})
+		if len(s.bound) != 2 {
+			t.Errorf("bound %v once a line was there", s.bound)
+		}
+	})
+	t.Run("the same events give the same orders", func(t *testing.T) {
+		run := func() []string {
+			s := begin(t, usual(), 8, 4)
+			s.plays(20, func() { s.fine(3); s.hears(3, 10, 10, 0) })
+			return s.script
+		}
+		if !slices.Equal(run(), run()) {
+			t.Error("orders differ")
+		}
+	})
+	t.Run("a list that must be asked for is asked for again after a failure", func(t *testing.T) {
+		x := usual()
+		x.sight.MustAsk, x.sight.AskWithin = true, 10*second
+		s := begin(t, x, 3, 1)
+		s.c.ListFailed()
+		s.plays(3, nil)
+		if s.watches != 2 {
+			t.Errorf("asked %d times", s.watches)
+		}
+	})
+	t.Run("absent and foreign figures harm nothing", func(t *testing.T) {
+		s := begin(t, usual(), 3, 1)
+		s.c.Heard(99, 5, 5, 0, Load{})
+		s.c.Heard(1, 0, 0, 0, Load{})
+		s.c.Came(77, 0, 5, second)
+		s.c.Came(0, 1, 5, 0)
+		s.c.Left(55)
+		s.c.Applied(55, 3)
+		s.c.Applied(0, 60000)
+		s.c.Probed(44, Answered)
+		s.c.Elapsed(12345)
+		s.c.ListFailed()
+		s.c.Left(0)
+		s.c.Left(0)
+		s.c.Came(0, 0, 5, second)
+		s.c.Joined(0, 1)
+		s.c.Joined(0, 1)
+		s.plays(12, func() { s.hears(0, 4, 4, 0) })
+		if len(s.timers) != 1 {
+			t.Errorf("%d timers run", len(s.timers))
+		}
+	})
+}
+
+func TestScores(t *testing.T) {
+	t.Run("a dead backend leaves, returns at a quarter, and waits twice as long if it fails again", func(t *testing.T) {
+		s := begin(t, usual(), 6, 2)
+		bad := func() { s.fine(2); s.hears(2, 4, 4, 0) }
+		s.plays(5, bad)
+		s.weight(2, 0, "after five failures")
+		s.plays(11, func() { s.fine(2) })
+		s.weight(2, 0.5, "after ten seconds")
+		s.plays(5, bad)
+		s.weight(2, 0, "after failing again")
+		s.plays(11, func() { s.fine(2) })
+		s.weight(2, 0, "eleven seconds on")
+		s.plays(10, func() { s.fine(2) })
+		s.weight(2, 0.5, "after twice the time")
+		s.plays(8, func() { s.fine() })
+		s.weight(2, 2, "after answering well")
+	})
+	t.Run("one that fails fast most of the time leaves", func(t *testing.T) {
+		s := begin(t, usual(), 6, 2)
+		s.plays(6, func() { s.fine(4); s.hears(4, 10, 7, 200_000) })
+		s.weight(4, 0, "after failing most")
+	})
+	t.Run("what most share condemns nobody", func(t *testing.T) {
+		s := begin(t, usual(), 6, 2)
+		s.plays(12, func() {
+			for b := range 6 {
+				s.hears(b, 10, 5+b%3, 250_000)
+			}
+			s.comes(5, 5)
+		})
+		for b := range 6 {
+			s.weight(b, 2, "while all fail")
+		}
+	})
+	t.Run("behind a cut the dead leave, but a quarter always stays", func(t *testing.T) {
+		s := begin(t, usual(), 8, 2)
+		s.plays(6, func() {
+			for b := range 8 {
+				s.hears(b, 10, 10*count(b > 1), 250_000*int64(count(b <= 1)))
+			}
+		})
+		if len(s.tables[0]) != 2 {
+			t.Errorf("table %v, want the two that answer", s.tables[0])
+		}
+		s.plays(6, func() {
+			for b := range 2 {
+				s.hears(b, 10, 10, 0)
+			}
+		})
+		if len(s.tables[0]) < 2 {
+			t.Errorf("table %v after the rest failed as well", s.tables[0])
+		}
+	})
+	t.Run("when R is empty all are published, and the ordinary path comes back", func(t *testing.T) {
+		s := begin(t, usual(), 8, 2)
+		s.plays(5, func() {
+			for b := range 8 {
+				s.hears(b, 10, 10*count(b > 1), 250_000*int64(count(b <= 1)))
+			}
+		})
+		s.c.Listed(false, []Entry{{Backend: 0, Condition: Gone}, {Backend: 1, Condition: Gone, Zone: 1}})
+		s.plays(1, nil)
+		if len(s.tables[0]) != 6 {
+			t.Errorf("table %v, want all six that are listed", s.tables[0])
+		}
+		s.plays(30, func() { s.fine(0, 1) })
+		for b := 2; b < 8; b++ {
+			s.weight(b, 2, "long after")
+		}
+	})
+	t.Run("a slow one loses part of its weight, not its place, and gets it back", func(t *testing.T) {
+		s := begin(t, usual(), 6, 2)
+		s.plays(4, func() { s.fine(1); s.hears(1, 10, 2, 900_000) })
+		if w := s.tables[0][1]; w >= 2 || w < 0.5 {
+			t.Errorf("weight %.2f while slow", w)
+		}
+		s.plays(90, func() { s.fine() })
+		s.weight(1, 2, "long after")
+	})
+	t.Run("a passed probe brings a backend back once, and is not believed when that fails", func(t *testing.T) {
+		x := usual()
+		x.sight.MayProbe = true
+		s := begin(t, x, 6, 2)
+		bad := func() { s.fine(2); s.hears(2, 5, 5, 0) }
+		s.plays(8, bad)
+		if len(s.probes) == 0 {
+			t.Fatal("no probe")
+		}
+		s.c.Probed(2, Answered)
+		s.plays(2, func() { s.fine(2) })
+		s.weight(2, 0.5, "after a passed probe")
+		s.plays(4, bad)
+		n := len(s.probes)
+		s.c.Probed(2, Answered)
+		s.plays(10, func() { s.fine(2) })
+		if s.weight(2, 0, "after the second failure"); len(s.probes) != n {
+			t.Error("probed although its probes prove nothing")
+		}
+	})
+}
+
+func TestList(t *testing.T) {
+	t.Run("draining and gone backends are left at once, whatever tables are held", func(t *testing.T) {
+		s := begin(t, usual(), 4, 2)
+		s.plays(3, nil)
+		s.c.Listed(false, []Entry{{Backend: 1, Condition: Draining, Weight: 2, Zone: 1}})
+		s.weight(1, 0, "while draining")
+		s.plays(1, nil)
+		s.c.Listed(true, []Entry{{Backend: 0, Condition: Ready, Weight: 2}, {Backend: 2, Condition: Ready, Weight: 2}})
+		s.weight(3, 0, "when missing from the whole list")
+		if !s.out[1] || !s.out[3] || s.out[0] {
+			t.Errorf("withdrawn %v", s.out)
+		}
+		s.plays(1, nil)
+		s.c.Listed(false, []Entry{{Backend: 1, Condition: Ready, Weight: 2, Zone: 1}})
+		s.plays(8, nil)
+		if s.weight(1, 2, "ready again"); s.out[1] {
+			t.Error("still withdrawn")
+		}
+	})
+	t.Run("backends that drop one by one do not use up the messages", func(t *testing.T) {
+		// Found in an incident: seven entries, a message each, and the eighth had to wait past the grace.
+		x := usual()
+		x.channel.MessagesMost, x.limits.Grace = 12, 1500_000
+		s := begin(t, x, 24, 3)
+		s.plays(12, func() { s.fine() })
+		for b := range 8 {
+			told := s.now
+			s.c.Listed(false, []Entry{{Backend: 3 * b, Condition: Gone, Zone: b % 2}})
+			s.plays(0.2, nil)
+			for s.tables[0][3*b] > 0 && s.now-told < x.limits.Grace {
+				s.plays(0.25, nil)
+			}
+			if late := s.now + x.channel.LongestWay - told; s.tables[0][3*b] > 0 || late > x.limits.Grace {
+				t.Errorf("backend %d left %d us after it dropped", 3*b, late)
+			}
+		}
+		for i, at := range s.messages {
+			if i >= 12 && at-s.messages[i-12] < 10*second {
+				t.Errorf("13 messages within %d us", at-s.messages[i-12])
+			}
+		}
+	})
+	t.Run("a cold backend is eased in by what it surely can do", func(t *testing.T) {
+		s := begin(t, usual(), 4, 2)
+		s.plays(3, func() { s.fine() })
+		started := s.now
+		s.c.Listed(false, []Entry{{Backend: 2, Condition: Ready, Weight: 2, Started: started}})
+		for range 20 {
+			age := float64(s.now-started) / float64(17*second)
+			if w := s.tables[0][2]; w > 2*(0.17+0.84*age) {
+				t.Errorf("weight %.2f at %.2f of its warming", w, age)
+			}
+			s.plays(1, func() { s.fine() })
+		}
+		s.weight(2, 2, "when warm")
+	})
+	t.Run("where only draining binds, a dropped backend that answers stays", func(t *testing.T) {
+		x := usual()
+		x.limits.OnlyDrainingBinds = true
+		s := begin(t, x, 4, 2)
+		s.plays(3, func() { s.fine() })
+		s.c.Listed(false, []Entry{{Backend: 1, Condition: Gone, Zone: 1}})
+		s.plays(5, func() { s.fine() })
+		s.weight(1, 2, "dropped, but answering")
+		s.plays(8, func() { s.fine(1) })
+		s.weight(1, 0, "dropped and silent")
+	})
+	t.Run("classes that must stay in their zone have a table of that zone", func(t *testing.T) {
+		x := usual()
+		x.classes[1].OwnZone = true
+		s := begin(t, x, 4, 2)
+		s.plays(1, nil)
+		if len(s.tables[0]) != 4 || len(s.tables[1]) != 2 || len(s.tables[2]) != 2 || s.tables[2][0] != 0 ||
+			!s.bound["1 0 1"] || !s.bound["1 2 2"] {
+			t.Errorf("tables %v, bound %v", s.tables, s.bound)
+		}
+	})
+}
+
+func TestChannel(t *testing.T) {
+	t.Run("whole tables wait while half the backlog is in use", func(t *testing.T) {
+		s := begin(t, usual(), 30, 0)
+		for p := range 28 {
+			s.c.Joined(p, 0)
+		}
+		if n := len(s.bound); n == 0 || float64(n)*35 > 450 {
+			t.Errorf("%d bound at once", n)
+		}
+		s.plays(3, nil)
+		if len(s.bound) != 28 {
+			t.Errorf("%d bound in the end", len(s.bound))
+		}
+	})
+	t.Run("on a slow channel nothing is added until marks come back", func(t *testing.T) {
+		s := begin(t, usual(), 30, 0)
+		for p := range 28 {
+			s.c.Joined(p, 0)
+		}
+		n := len(s.bound)
+		s.now += second
+		s.c.Elapsed(s.tag)
+		if len(s.bound) != n {
+			t.Errorf("%d more were bound though no mark came back", len(s.bound)-n)
+		}
+	})
+	t.Run("ordinary changes keep the pace", func(t *testing.T) {
+		s := begin(t, usual(), 12, 2)
+		turn := 0
+		s.plays(30, func() { turn++; s.fine(turn % 12); s.hears(turn%12, 10, 3, 900_000) })
+		if n := len(s.messages); n > 18 {
+			t.Errorf("%d messages in 30 s", n)
+		}
+	})
+}
+
+func TestLevels(t *testing.T) {
+	jam := func(s *stage) func() {
+		return func() {
+			for b := range s.c.backends {
+				s.hears(b, 10, 1, 900_000)
+			}
+			s.comes(40, 20)
+		}
+	}
+	t.Run("importance goes first, nothing is tried again, and all comes back", func(t *testing.T) {
+		s := begin(t, usual(), 8, 3)
+		s.plays(5, func() { s.fine() })
+		if len(s.levels) > 0 {
+			t.Fatalf("levels %v on a quiet day", s.levels)
+		}
+		s.plays(3, jam(s))
+		low, high := s.levels["65535 1"], s.levels["65535 2"]
+		if low <= 0 || low >= 40 || high != 0 && high < low || s.tries["65535 1"] != TryOnce {
+			t.Errorf("levels %v, tries %v", s.levels, s.tries)
+		}
+		s.plays(9, func() {
+			for b := range 8 {
+				s.hears(b, 10, 0, 250_000)
+			}
+			s.comes(40, 20)
+		})
+		if s.levels["65535 1"] <= low {
+			t.Errorf("level %.1f after draining, %.1f before", s.levels["65535 1"], low)
+		}
+		s.plays(30, func() { s.fine(); s.comes(8, 8) })
+		if s.levels["65535 1"] != unlimited || s.tries["65535 1"] != TryAfterProof {
+			t.Errorf("levels %v, tries %v long after", s.levels, s.tries)
+		}
+		if len(s.tables[0]) != 8 {
+			t.Errorf("an overload took backends out: %v", s.tables[0])
+		}
+	})
+	t.Run("a standing limit meets the next wave before a queue forms", func(t *testing.T) {
+		s := begin(t, usual(), 8, 3)
+		s.plays(3, jam(s))
+		s.plays(20, func() { s.fine(); s.comes(8, 8) })
+		s.plays(3, func() { s.fine(); s.comes(60, 30); s.comes(60, 30) })
+		if l := s.levels["65535 1"]; l <= 0 || l >= 60 {
+			t.Errorf("levels %v as the next wave came", s.levels)
+		}
+	})
+	t.Run("proxies that stand still are not an overload", func(t *testing.T) {
+		s := begin(t, usual(), 8, 3)
+		s.plays(6, func() {
+			for b := range 8 {
+				s.c.Heard(b, 10, 1, 900_000, Load{Busy: 0.4, Held: -1, Waiting: -1, Service: -1})
+			}
+			s.comes(20, 20)
+		})
+		if len(s.levels) > 0 {
+			t.Errorf("levels %v though backends are idle", s.levels)
+		}
+	})
+	t.Run("where levels are shares, a share is ordered", func(t *testing.T) {
+		x := usual()
+		x.admit = AdmitShare
+		s := begin(t, x, 8, 3)
+		s.plays(3, jam(s))
+		if l := s.levels["65535 1"]; l <= 0 || l >= 1 {
+			t.Errorf("levels %v", s.levels)
+		}
+	})
+	t.Run("where levels are not heeded, none are ordered", func(t *testing.T) {
+		x := usual()
+		x.admit = AdmitNone
+		s := begin(t, x, 8, 3)
+		s.plays(6, jam(s))
+		if len(s.levels) > 0 {
+			t.Errorf("levels %v", s.levels)
+		}
+	})
+	t.Run("a cap adds up to what may come", func(t *testing.T) {
+		if got := waterline([]float64{10, 1, 4}, 9); got != 4 {
+			t.Errorf("waterline %.2f, want 4", got)
+		}
+	})
+}
+
+func TestSlices(t *testing.T) {
+	start := func(t *testing.T, single bool, admit Admission) *stage {
+		x := usual()
+		x.partition = Partition{Count: 4, SingleOwner: single, WritesOn: 2500_000, Settle: 2 * second}
+		x.admit = admit
+		s := begin(t, x, 4, 2)
+		for id := range 4 {
+			s.c.SliceGiven(id)
+			s.c.SliceLine(id, id, 1)
+			s.c.SliceCame(id, 0, 10*id, second)
+		}
+		s.plays(1, nil)
+		return s
+	}
+	gone := []Entry{{Backend: 3, Condition: Gone, Zone: 1}}
+	t.Run("a slice whose owner is gone moves to the one with least to do", func(t *testing.T) {
+		s := start(t, false, AdmitShare)
+		s.c.Listed(false, gone)
+		if s.tables[3][0] != 1 || s.tables[3][3] != 0 || len(s.tables[1]) > 0 {
+			t.Errorf("tables %v", s.tables)
+		}
+	})
+	t.Run("a single owner gets writes only after the last has settled everywhere", func(t *testing.T) {
+		s := start(t, true, AdmitShare)
+		s.c.Listed(false, gone)
+		if s.levels["3 2"] != 0 || s.tries["3 2"] != TryOnce || s.tables[3][0] != 1 {
+			t.Fatalf("levels %v, tables %v", s.levels, s.tables)
+		}
+		s.c.Left(1) // it goes on writing for a while
+		s.plays(2, nil)
+		s.c.Joined(1, 1) // and is told again when it is back
+		s.plays(1.5, nil)
+		if s.levels["3 2"] != 0 {
+			t.Error("writes go on though the lost proxy's may be in hand")
+		}
+		s.plays(2, nil)
+		if s.levels["3 2"] < 1 {
+			t.Error("writes are still held")
+		}
+	})
+	t.Run("where levels are not heeded, the line comes last", func(t *testing.T) {
+		s := start(t, true, AdmitNone)
+		s.c.Listed(false, gone)
+		if len(s.tables[3]) > 0 {
+			t.Fatalf("table %v", s.tables[3])
+		}
+		s.plays(3, nil)
+		if s.tables[3][0] != 1 {
+			t.Errorf("table %v", s.tables[3])
+		}
+	})
+	t.Run("a slice that was taken away is left alone", func(t *testing.T) {
+		s := start(t, false, AdmitShare)
+		s.c.SliceTaken(3)
+		s.c.Listed(false, gone)
+		if len(s.tables[3]) > 0 {
+			t.Errorf("table %v", s.tables[3])
+		}
+	})
+}
--- /dev/null
+++ b/decide/fake_test.go
@@ -0,0 +1,176 @@
+package decide
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// stage is the one fake host: it keeps what was ordered, and plays time.
+type stage struct {
+	*testing.T
+	c        *Controller
+	now      int64
+	timers   []int64
+	tag      uint64
+	tables   map[int]map[int]float64
+	out      map[int]bool
+	bound    map[string]bool
+	levels   map[string]float64
+	tries    map[string]Tries
+	messages []int64 // times at which orders with a mark went out
+	mark     int
+	watches  int
+	probes   []int
+	script   []string
+}
+
+func (s *stage) Now() int64 { return s.now }
+func (s *stage) Log(string) {}
+func (s *stage) Watch()     { s.watches++ }
+func (s *stage) After(wait int64, tag uint64) {
+	s.timers, s.tag = append(s.timers, s.now+wait), tag
+}
+func (s *stage) Probe(b int) { s.probes = append(s.probes, b) }
+func (s *stage) SetLine(table, b int, weight float64) {
+	if s.tables[table] == nil {
+		s.tables[table] = map[int]float64{}
+	}
+	s.tables[table][b] = weight
+	if weight == 0 {
+		delete(s.tables[table], b)
+	}
+	s.note("line %d %d %.3f", table, b, weight)
+}
+func (s *stage) Bind(table, p int, classes uint16) {
+	if len(s.tables[table]) == 0 {
+		s.Errorf("proxy %d bound to the empty table %d", p, table)
+	}
+	s.bound[fmt.Sprint(p, table, classes)] = true
+	s.note("bind %d %d %d", table, p, classes)
+}
+func (s *stage) Withdraw(b int, out bool) {
+	s.out[b] = out
+	s.note("withdraw %d %v", b, out)
+}
+func (s *stage) Admit(table int, classes uint16, allowance float64, tries Tries) {
+	key := fmt.Sprint(table, classes)
+	s.levels[key], s.tries[key] = allowance, tries
+	s.note("admit %s %.2f %d", key, allowance, tries)
+}
+func (s *stage) Mark(number int, everyone bool) {
+	s.mark = number
+	if n := len(s.messages); n == 0 || s.messages[n-1] != s.now {
+		s.messages = append(s.messages, s.now)
+	}
+}
+func (s *stage) note(format string, args ...any) {
+	s.script = append(s.script, fmt.Sprint(s.now, " ")+fmt.Sprintf(format, args...))
+}
+
+// twoClasses are one that may repeat and one that matters more and may not.
+func twoClasses() []Class {
+	return []Class{
+		{Expected: 1500_000, Outer: 4 * second, Importance: 1, Repeat: RepeatSafe},
+		{Expected: 800_000, Outer: 2 * second, Importance: 3, Repeat: RepeatNever, Writes: true},
+	}
+}
+
+// setting is what a story may change before it begins.
+type setting struct {
+	classes   []Class
+	channel   Channel
+	limits    Limits
+	partition Partition
+	sight     Sight
+	admit     Admission
+}
+
+func usual() setting {
+	return setting{
+		classes: twoClasses(),
+		channel: Channel{LinesPerS: 900, Head: 4, Backlog: 900, MeanWay: 265_000, LongestWay: 660_000,
+			MessagesMost: 30, MessagesSpan: 10 * second},
+		limits: Limits{Bare: 4700_000, Grace: 3 * second, ColdShare: 0.16, WarmBy: 17 * second,
+			FallMultiple: 3, FallSpan: 2 * second},
+		sight: Sight{Zones: 2, ReportEvery: second},
+		admit: AdmitRate,
+	}
+}
+
+// begin starts a controller with this many ready backends, in zones by turns, and proxies.
+func begin(t *testing.T, x setting, backends, proxies int) *stage {
+	s := &stage{T: t, now: 100 * second, tables: map[int]map[int]float64{}, out: map[int]bool{},
+		bound: map[string]bool{}, levels: map[string]float64{}, tries: map[string]Tries{}}
+	s.c = New(s, 7, x.classes, x.channel, x.limits, x.partition, x.sight, x.admit)
+	var all []Entry
+	for b := range backends {
+		all = append(all, Entry{Backend: b, Condition: Ready, Weight: 2, Zone: b % x.sight.Zones})
+	}
+	if backends > 0 {
+		s.c.Listed(true, all)
+	}
+	for p := range proxies {
+		s.c.Joined(p, p%x.sight.Zones)
+		s.c.Applied(p, s.mark)
+	}
+	return s
+}
+
+// plays lets time pass in seconds; every second each is called, if given, and all proxies answer marks.
+func (s *stage) plays(seconds float64, each func()) {
+	end := s.now + int64(seconds*float64(second))
+	next := s.now + second
+	for s.now < end {
+		s.now = min(end, next)
+		if len(s.timers) > 0 {
+			s.now = min(s.now, slices.Min(s.timers))
+		}
+		if s.now == next && each != nil {
+			each()
+		}
+		if s.now == next {
+			next += second
+		}
+		due := slices.Contains(s.timers, s.now)
+		s.timers = slices.DeleteFunc(s.timers, func(at int64) bool { return at == s.now })
+		if due {
+			s.c.Elapsed(s.tag)
+		}
+		for p, q := range s.c.proxies {
+			if q.joined {
+				s.c.Applied(p, s.mark)
+			}
+		}
+	}
+}
+
+// hears reports one backend's tries of the last second.
+func (s *stage) hears(b, tries, failed int, mean int64) {
+	s.c.Heard(b, tries, failed, mean, Load{Busy: -1, Held: -1, Waiting: -1, Service: -1})
+}
+
+// fine reports good answers of all backends but the given ones, and the usual demand at each proxy.
+func (s *stage) fine(except ...int) {
+	for b := range s.c.backends {
+		if !slices.Contains(except, b) {
+			s.hears(b, 10, 0, 250_000)
+		}
+	}
+	s.comes(20, 20)
+}
+
+func (s *stage) comes(perClass ...int) {
+	for p := range s.c.proxies {
+		for class, n := range perClass {
+			s.c.Came(p, class, n, second)
+		}
+	}
+}
+
+func (s *stage) weight(b int, want float64, when string) {
+	s.Helper()
+	if got := s.tables[0][b]; got < want-0.001 || got > want+0.001 {
+		s.Errorf("%s: backend %d has weight %.3f, want %.3f", when, b, got, want)
+	}
+}
--- a/internal/benchwire/door.go
+++ b/internal/benchwire/door.go
@@ -166,13 +166,13 @@
 		in.control.Elapsed(r.u64(3))
 	case evChecked:
 		if b, ok := in.known(&in.backends, r.u32(3), "backend"); ok {
-			in.control.Probed(b, in.outcome(r.u16(7)), micros(r.f64(9)))
+			in.control.Probed(b, in.outcome(r.u16(7)))
 		}
 	case evPeer:
 		in.door.odd("a peer message came, though we never send one")
 	case evEnrolled:
 		if in.in(int(r.u8(8)), in.zones, "zone") {
-			in.control.Joined(in.proxies.number(uint32(r.u16(9))), int(r.u8(8)), r.f32(4))
+			in.control.Joined(in.proxies.number(uint32(r.u16(9))), int(r.u8(8)))
 		}
 	case evLost:
 		if p, ok := in.known(&in.proxies, uint32(r.u16(3)), "proxy"); ok {
@@ -180,17 +180,17 @@
 		}
 	case evAcked:
 		if p, ok := in.known(&in.proxies, uint32(r.u16(3)), "proxy"); ok {
-			in.control.Applied(p, int(r.u64(5)&math.MaxUint16), micros(r.f64(13)))
+			in.control.Applied(p, int(r.u64(5)&math.MaxUint16))
 		}
 	case evStats:
 		if b, ok := in.known(&in.backends, r.u32(4), "backend"); ok && in.in(int(r.u8(3)), in.zones, "zone") {
 			tries := int(r.u32(8))
 			failed := min(int(r.u32(12)), tries)
-			in.control.Heard(int(r.u8(3)), b, tries, failed, micros(r.f64(16)), micros(r.f64(24)), in.load(r, 32))
+			in.control.Heard(b, tries, failed, micros(r.f64(16)), in.load(r, 32))
 		}
 	case evArrivals:
 		if p, ok := in.known(&in.proxies, uint32(r.u16(3)), "proxy"); ok && in.in(int(r.u8(5)), in.classes, "class") {
-			in.control.Came(p, int(r.u8(5)), int(r.u32(6)), int(r.u32(10)), micros(r.f64(14)))
+			in.control.Came(p, int(r.u8(5)), int(r.u32(6)), micros(r.f64(14)))
 		}
 	case evPressure:
 		if in.in(int(r.u16(3)), in.slices, "slice") && in.in(int(r.u8(5)), in.classes, "class") {
@@ -263,7 +263,7 @@
 			Weight: e.f32(11), Zone: int(e.u8(17)), Kind: int(e.u16(8)), Cell: int(e.u16(15)),
 		})
 	}
-	in.control.Listed(how != 0, how == 2, entries)
+	in.control.Listed(how != 0, entries)
 }
 
 func (in *instance) outcome(code uint16) decide.Outcome {
