--- a/decide/decide.go
+++ b/decide/decide.go
@@ -22,7 +22,6 @@
 	entryShare     = 0.25        // new and returning backends begin with this part of the listed weight ...
 	entryFor       = 5 * second  // ... for so long
 
-	// Scores.
 	beat         = second / 4 // how often waiting work is looked at: well under any pace
 	provenSilent = 5          // tries in a row that all failed show a dead backend: proxies use as many
 	probeEvery   = 3 * second // looks at a withdrawn backend; its state must have had time to change
@@ -91,9 +90,8 @@
 	widened             bool // since it was last strained
 }
 
-// sample is one report line; took is the total time of the answered ones.
 type sample struct {
-	at, took      int64
+	at, took      int64 // took: all answered ones together
 	tries, failed int
 }
 
@@ -119,9 +117,6 @@
 			c.shared |= 1 << i
 		}
 	}
-	if sight.MustAsk {
-		c.ask()
-	}
 	host.After(beat, seed)
 	return c
 }
@@ -329,11 +324,7 @@
 	// alone keeps it from being pushed over. Steps of a quarter keep the orders few.
 	if c.cold(b, now) {
 		sure := c.limits.ColdShare + (1-c.limits.ColdShare)*float64(now-b.Started)/float64(c.limits.WarmBy)
-		if step := float64(int(sure*4)) / 4; step > 0 {
-			part = min(part, step)
-		} else if part = min(part, sure); b.line > 0 {
-			part = min(part, b.line/b.Weight)
-		}
+		part = min(part, max(float64(int(sure*4))/4, c.limits.ColdShare))
 	}
 	return part
 }
@@ -350,8 +341,7 @@
 }
 
 // publish lays what differs from the standing tables. What the rules need goes at once: leaving a draining
-// or gone backend, easing off a cold one, filling an empty table. It takes along what waits, as one message
-// costs one header. All else keeps the design's pace.
+// or gone backend, easing off a cold one, filling an empty table. All else keeps the pace, or goes along.
 func (c *Controller) publish(now int64, ordinary bool) {
 	urgent, bare := false, c.laid(-1) == 0
 	for _, b := range c.backends {
@@ -360,13 +350,20 @@
 			b.out != (b.listed && !usable)
 	}
 	if (ordinary || urgent) && c.channel.open(c.proxies, now, c.limits.Grace, urgent) {
-		laid := false
-		for _, adding := range []bool{true, false} { // lines come before others go: no table is bare between
+		laid, left := false, 0
+		for _, must := range []bool{true, false} {
 			for i, b := range c.backends {
-				if want := c.wanted(b, now); want != b.line && (want > b.line) == adding {
-					c.setLine(i, want)
-					laid = true
+				want := c.wanted(b, now)
+				rule := want < b.line && (c.cold(b, now) || !c.usable(b, now)) || want > 0 && bare
+				if want == b.line || rule != must {
+					continue
 				}
+				if !c.channel.fits(c.lineCost(), must) {
+					left++
+					continue
+				}
+				c.setLine(i, want)
+				laid, bare = true, bare && want == 0
 			}
 		}
 		for i, b := range c.backends { // proxies that still hold tables of others stay off these as well
@@ -377,7 +374,7 @@
 			}
 		}
 		if c.layLevels() || laid {
-			c.publishedAt = now
+			c.publishedAt = now * int64(count(left == 0))
 		}
 	}
 	c.tendSlices(now)
@@ -392,6 +389,13 @@
 	return lines
 }
 
+func (c *Controller) lineCost() (lines float64) {
+	for _, p := range c.proxies {
+		lines += float64(count(p.bound))
+	}
+	return lines
+}
+
 func (c *Controller) setLine(id int, weight float64) {
 	b := c.backends[id]
 	b.line = weight
@@ -416,7 +420,7 @@
 			cost += float64(1 + lines)
 			bare = bare || lines == 0
 		})
-		if !bare && c.channel.fits(cost) && c.channel.may(p, now, false) {
+		if !bare && c.channel.fits(cost, false) && c.channel.may(p, now, false) {
 			p.bound = true
 			c.bill(p, cost-c.channel.Head)
 			c.tables(p.zone, func(table int, classes uint16) { c.host.Bind(table, i, classes) })
@@ -474,8 +478,7 @@
 			failing = append(failing, i)
 		}
 	}
-	// A mistaken judgement must not put the load of many on a few: the dead may leave in numbers, but only
-	// while enough others are seen at work.
+	// A mistake must not put the load of many on a few: the dead leave only while others are seen at work.
 	most := mostFailing
 	if good >= (1-mostDead)*listed {
 		most = mostDead
@@ -739,8 +742,7 @@
 	return n > 0 && (busy >= 0 && busy < idleAt*n || waiting >= 0 && waiting < idleAt*n)
 }
 
-// setLevels shares the limit out, importance first; a class is cut at its busiest proxies, so that repeats by
-// clients of a busy proxy are not taken for demand.
+// setLevels shares the limit out, importance first; capping the busiest proxies, repeats count for nothing.
 func (c *Controller) setLevels() {
 	a := &c.levels
 	left := a.limit
@@ -750,14 +752,12 @@
 		for _, r := range rates {
 			total += r
 		}
-		part := max(left/a.units[class], leastLet*total)
-		if a.limit == 0 || part >= total {
-			left -= total * a.units[class]
-			continue
-		}
+		part := min(total, max(left/a.units[class], leastLet*total))
 		left -= part * a.units[class]
-		if a.want[class] = part / total; a.how == AdmitRate {
+		if a.limit > 0 && part < total && a.how == AdmitRate {
 			a.want[class] = waterline(rates, part)
+		} else if a.limit > 0 && part < total {
+			a.want[class] = part / total
 		}
 	}
 }
@@ -795,8 +795,7 @@
 
 // ---- the channel
 
-// ledger counts what may still wait in the channel: all lines ordered of which no mark has come back, so it
-// holds on days when the channel is slow.
+// ledger counts lines until their mark, or a later one, has come back, so it holds when the channel is slow.
 type ledger struct {
 	Channel
 	lines   float64
@@ -851,7 +850,6 @@
 	return number
 }
 
-// drop forgets the first orders and adds up the rest.
 func (l *ledger) drop(n int) {
 	l.waiting = l.waiting[n:]
 	l.lines = 0
@@ -871,8 +869,11 @@
 	}
 }
 
-// fits tells whether a whole table may go: these wait while half the backlog is in use.
-func (l *ledger) fits(cost float64) bool { return l.lines == 0 || l.lines+cost <= l.Backlog/2 }
+// fits tells whether lines may go: all but what the rules need waits while half the backlog is in use.
+func (l *ledger) fits(cost float64, must bool) bool {
+	// A fleet that grows or shrinks at once would fill the channel: the rest follows as it empties.
+	return l.lines == 0 || l.lines+cost <= l.Backlog/2 || must && l.lines+cost <= l.Backlog
+}
 
 // may tells whether a proxy may be sent one more message. Half of those allowed are kept for what is urgent.
 func (l *ledger) may(p *proxy, now int64, urgent bool) bool {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -41,6 +41,7 @@
 		x := usual()
 		x.sight.MustAsk, x.sight.AskWithin = true, 10*second
 		s := begin(t, x, 3, 1)
+		s.plays(1, nil)
 		s.c.ListFailed()
 		s.plays(3, nil)
 		if s.watches != 2 {
@@ -265,6 +266,24 @@
 			t.Errorf("%d bound in the end", len(s.bound))
 		}
 	})
+	t.Run("a fleet that grows at once does not fill the channel", func(t *testing.T) {
+		// Found in an incident: 17 new backends in one list event went to 39 proxies in one message each.
+		s := begin(t, usual(), 20, 20)
+		s.plays(5, func() { s.fine() })
+		var more []Entry
+		for b := range 60 {
+			more = append(more, Entry{Backend: 20 + b, Condition: Ready, Weight: 2, Started: s.now})
+		}
+		s.c.Listed(false, more)
+		most := 0.
+		for range 40 {
+			most = max(most, s.c.channel.lines)
+			s.plays(0.25, nil)
+		}
+		if most > 900 || len(s.tables[0]) != 80 {
+			t.Errorf("%.0f lines waited, %d backends in the table", most, len(s.tables[0]))
+		}
+	})
 	t.Run("on a slow channel nothing is added until marks come back", func(t *testing.T) {
 		s := begin(t, usual(), 30, 0)
 		for p := range 28 {
