--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,6 +41,7 @@
 	easeDown   = 0.92      // of the limit at each look, while heat lies between calm and hot ...
 	easeUp     = 1.04      // ... while it is calm
 	idleAt     = 0.8       // backends less busy, or with less waiting on average, have no queue
+	elsewhere  = 0.67      // part of the answer time that their service takes at most then
 	leastLet   = 0.05      // part of its demand that the least important class keeps: we go on hearing of it
 	sameLevel  = 0.05      // levels that differ by less are one: reports are no finer
 	unlimited  = 1_000_000 // a rate no proxy reaches
@@ -695,7 +696,7 @@
 	was, lag, cut := a.bound, c.sight.ReportEvery+c.channel.LongestWay+second, false
 	switch {
 	case now < a.holdUntil:
-	case heat > hotAt && !c.idle():
+	case heat > hotAt && !c.idle(heat*a.expected):
 		smooth(&a.able, proven/heard)
 		// The queue before a new exchange, in seconds of work, with what came while we did not know.
 		queue := (heat - restAt) * a.expected / float64(second)
@@ -730,16 +731,16 @@
 	return true
 }
 
-// idle tells whether the backends themselves say that nothing waits: then slow answers come from proxies
-// that stand still, or from the way, and letting less in would not help. Where they say nothing, it is false.
-func (c *Controller) idle() bool {
-	n, busy, waiting := 0., 0., 0.
+// idle tells whether the backends themselves say that little waits and that most of an answer's time passed
+// elsewhere: then proxies stand still, or the way is slow, and letting less in would not help.
+func (c *Controller) idle(mean float64) bool {
+	n, busy, waiting, service := 0., 0., 0., 0.
 	for _, b := range c.backends {
-		if b.line > 0 && b.answered > c.lookedAt && b.load != (Load{}) {
-			n, busy, waiting = n+1, busy+b.load.Busy, waiting+b.load.Waiting
+		if l := b.load; b.line > 0 && b.answered > c.lookedAt && l != (Load{}) {
+			n, busy, waiting, service = n+1, busy+l.Busy, waiting+l.Waiting, service+l.Service
 		}
 	}
-	return n > 0 && (busy >= 0 && busy < idleAt*n || waiting >= 0 && waiting < idleAt*n)
+	return n > 0 && (busy >= 0 && busy < idleAt*n || waiting >= 0 && waiting < idleAt*n && service < elsewhere*mean*n)
 }
 
 // setLevels shares the limit out, importance first; capping the busiest proxies, repeats count for nothing.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -352,18 +352,28 @@
 			t.Errorf("levels %v as the next wave came", s.levels)
 		}
 	})
-	t.Run("proxies that stand still are not an overload", func(t *testing.T) {
-		s := begin(t, usual(), 8, 3)
-		s.plays(6, func() {
-			for b := range 8 {
-				s.c.Heard(b, 10, 1, 900_000, Load{Busy: 0.4, Held: -1, Waiting: -1, Service: -1})
+	for name, x := range map[string]struct {
+		load Load
+		cuts bool
+	}{
+		"proxies that stand still before idle cores are no overload":    {Load{0.4, -1, -1, -1}, false},
+		"nor are they where nothing waits and service is short":         {Load{-1, -1, 0, 250_000}, false},
+		"but work that shares its cores waits nowhere and takes longer": {Load{-1, -1, 0, 800_000}, true},
+		"and full cores are one":                                        {Load{0.97, -1, -1, -1}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := begin(t, usual(), 8, 3)
+			s.plays(6, func() {
+				for b := range 8 {
+					s.c.Heard(b, 10, 1, 900_000, x.load)
+				}
+				s.comes(20, 20)
+			})
+			if cuts := len(s.levels) > 0; cuts != x.cuts {
+				t.Errorf("levels %v", s.levels)
 			}
-			s.comes(20, 20)
 		})
-		if len(s.levels) > 0 {
-			t.Errorf("levels %v though backends are idle", s.levels)
-		}
-	})
+	}
 	t.Run("where levels are shares, a share is ordered", func(t *testing.T) {
 		x := usual()
 		x.admit = AdmitShare
