--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,6 +39,8 @@
 	deepestCut = 0.1       // a cut leaves this much, so that we go on hearing
 	drain      = 2 * pace  // a queue is drained within this; orders keep the pace, so not faster
 	easeDown   = 0.92      // of the limit at each look, while heat lies between calm and hot ...
+	easeFast   = 1.12      // ... while backends say that they are idle
+	warmest    = 0.7       // part below which warmth is the work's, not the load's, and narrows no further
 	easeUp     = 1.04      // ... while it is calm
 	idleAt     = 0.8       // backends less busy, or with less waiting on average, have no queue
 	elsewhere  = 0.67      // part of the answer time that their service takes at most then
@@ -213,10 +215,8 @@
 	if restarted { // another process: what was heard of the old one says nothing
 		b.away, b.backoff, b.fooled, b.strained = false, 0, false, 0
 	}
-	if fresh && entering {
-		b.enteredAt = now
-	}
 	if fresh {
+		b.enteredAt = now * int64(count(entering))
 		b.forget(now)
 	}
 }
@@ -233,8 +233,6 @@
 	return b.listed && b.Condition == Ready
 }
 
-// ---- reports
-
 // Heard is what our proxies of some zone met at a backend.
 func (c *Controller) Heard(id, tries, failed int, mean int64, load Load) {
 	if id >= len(c.backends) || tries <= 0 {
@@ -267,8 +265,6 @@
 	*old = (*old + now) / 2
 }
 
-// ---- proxies
-
 // Joined: the proxy holds stale tables until it is bound, so it is bound as soon as the channel has room.
 func (c *Controller) Joined(id, zone int) {
 	for len(c.proxies) <= id {
@@ -300,8 +296,6 @@
 	c.bindWaiting(c.host.Now())
 }
 
-// ---- tables
-
 // tables hands out the tables that hold a zone's backends, and that its proxies use, with their classes.
 func (c *Controller) tables(zone int, do func(table int, classes uint16)) {
 	if c.shared != 0 {
@@ -693,10 +687,11 @@
 	if heat == 0 || heard == 0 || a.how == AdmitNone {
 		return false
 	}
-	was, lag, cut := a.bound, c.sight.ReportEvery+c.channel.LongestWay+second, false
+	was, cut, idle := a.bound, false, c.idle(heat*a.expected)
+	lag := c.sight.ReportEvery + c.channel.LongestWay + second
 	switch {
 	case now < a.holdUntil:
-	case heat > hotAt && !c.idle(heat*a.expected):
+	case heat > hotAt && !idle:
 		smooth(&a.able, proven/heard)
 		// The queue before a new exchange, in seconds of work, with what came while we did not know.
 		queue := (heat - restAt) * a.expected / float64(second)
@@ -705,9 +700,11 @@
 		a.drainedAt, a.holdUntil, cut = now+drain, now+drain+lag, true
 	case a.part > 0 && came <= a.limit:
 		a.able = max(a.able, proven/laid)
+	case a.part > 0 && idle:
+		a.part *= easeFast
 	case a.part > 0 && heat < calmAt:
 		a.part *= easeUp
-	case a.part > 0:
+	case a.part > warmest:
 		a.part *= easeDown
 	}
 	a.limit = a.part * a.able * laid
@@ -740,7 +737,8 @@
 			n, busy, waiting, service = n+1, busy+l.Busy, waiting+l.Waiting, service+l.Service
 		}
 	}
-	return n > 0 && (busy >= 0 && busy < idleAt*n || waiting >= 0 && waiting < idleAt*n && service < elsewhere*mean*n)
+	light := waiting >= 0 && waiting < idleAt*n && service < elsewhere*mean*n
+	return n > 0 && (light || busy >= 0 && busy < idleAt*n)
 }
 
 // setLevels shares the limit out, importance first; capping the busiest proxies, repeats count for nothing.
