--- a/decide/decide.go
+++ b/decide/decide.go
@@ -101,6 +101,7 @@
 type proxy struct {
 	joined, bound bool
 	zone          int
+	usual         float64 // exchanges a second that come to it on ordinary days
 	leftAt        int64
 	applied       int64     // orders up to this one have come through
 	rates         []float64 // exchanges a second that come to it, by class
@@ -124,7 +125,6 @@
 	return c
 }
 
-// chance draws evenly from 0 to 1.
 func (c *Controller) chance() float64 {
 	h := fnv.New64a()
 	fmt.Fprint(h, c.seed, " ", c.drawn)
@@ -224,8 +224,7 @@
 // forget drops what was heard of a backend, so that old failures do not count against a new try.
 func (b *backend) forget(now int64) { b.samples, b.unheard, b.answered = nil, 0, now }
 
-// usable tells whether exchanges may go to a backend at all, whatever its score. Where only draining binds, a
-// list that dropped one which still answers is wrong.
+// usable leaves the score aside. Where only draining binds, a list that dropped one which answers is wrong.
 func (c *Controller) usable(b *backend, now int64) bool {
 	if b.Condition == Gone {
 		return c.limits.OnlyDrainingBinds && !b.drained && b.answered > now-replyTimeout && b.line > 0
@@ -266,13 +265,14 @@
 }
 
 // Joined: the proxy holds stale tables until it is bound, so it is bound as soon as the channel has room.
-func (c *Controller) Joined(id, zone int) {
+func (c *Controller) Joined(id, zone int, usual float64) {
 	for len(c.proxies) <= id {
 		c.proxies = append(c.proxies, &proxy{})
 	}
 	now := c.host.Now()
-	rates := make([]float64, len(c.classes))
-	c.proxies[id] = &proxy{joined: true, bound: c.owners.exist(), zone: zone, rates: rates}
+	n := len(c.classes) // it counts with its ordinary traffic until it is heard of
+	c.proxies[id] = &proxy{joined: true, bound: c.owners.exist(), zone: zone, usual: max(usual, 1),
+		rates: slices.Repeat([]float64{usual / float64(n)}, n)}
 	for i := range c.owners.all { // it reads lines from the store, but must hear which writes are held
 		if c.owners.all[i].held > 0 {
 			c.hold(i, c.owners.all[i].owner)
@@ -345,7 +345,10 @@
 			b.out != (b.listed && !usable)
 	}
 	if (ordinary || urgent) && c.channel.open(c.proxies, now, c.limits.Grace, urgent) {
-		laid, left := false, 0
+		laid, left, cost := false, 0, 0.
+		for _, p := range c.proxies {
+			cost += float64(count(p.bound))
+		}
 		for _, must := range []bool{true, false} {
 			for i, b := range c.backends {
 				want := c.wanted(b, now)
@@ -353,7 +356,7 @@
 				if want == b.line || rule != must {
 					continue
 				}
-				if !c.channel.fits(c.lineCost(), must) {
+				if !c.channel.fits(cost, must) {
 					left++
 					continue
 				}
@@ -369,7 +372,7 @@
 			}
 		}
 		if c.layLevels() || laid {
-			c.publishedAt = now * int64(count(left == 0))
+			c.publishedAt = now * int64(count(left == 0)) // the rest goes as soon as there is room
 		}
 	}
 	c.tendSlices(now)
@@ -384,13 +387,6 @@
 	return lines
 }
 
-func (c *Controller) lineCost() (lines float64) {
-	for _, p := range c.proxies {
-		lines += float64(count(p.bound))
-	}
-	return lines
-}
-
 func (c *Controller) setLine(id int, weight float64) {
 	b := c.backends[id]
 	b.line = weight
@@ -587,7 +583,7 @@
 	units      []float64
 	outer      float64 // longest outer limit, microseconds
 	expected   float64 // expected time of the mean exchange let in, microseconds
-	able       float64 // units a second that each listed weight answered while a queue stood
+	able       float64 // units a second answered while a queue stood, over heard, see look
 	part       float64 // of what is able to be answered; 0 until a queue was seen
 	limit      float64 // units a second
 	bound      bool    // more comes than that
@@ -619,12 +615,16 @@
 }
 
 // look sums up the reports since the last: heat, the units a second that came, passed the levels and were
-// answered, and the listed weight behind our lines, and behind those that answered.
+// answered, and the listed weight behind our lines, and behind those that answered, both times the ordinary
+// traffic of our proxies: when those of another controller come to us, so does its share.
 func (c *Controller) look(now int64) (heat, came, let, proven, laid, heard float64) {
 	a := &c.levels
-	tries, answers, took := 0, 0, 0.
+	tries, answers, took, ours := 0, 0, 0., 0.
+	for _, p := range c.proxies {
+		ours += p.usual
+	}
 	for _, b := range c.backends {
-		laid += b.carried()
+		laid += b.carried() * ours
 		answered, failed, late := 0, 0, 0.
 		for _, s := range b.samples {
 			if s.at > c.lookedAt {
@@ -634,7 +634,7 @@
 		if answered == 0 {
 			continue
 		}
-		tries, answers, took, heard = tries+answered, answers+answered, took+late, heard+b.carried()
+		tries, answers, took, heard = tries+answered, answers+answered, took+late, heard+b.carried()*ours
 		// Failures of a backend that answers late are time-outs in its queue, and say how long that is.
 		if late/float64(answered) > calmAt*a.expected {
 			tries, took = tries+failed, took+float64(failed)*a.outer/2
@@ -678,9 +678,9 @@
 }
 
 // steer settles how much is let in, and tells whether a cut was found. When answers on the whole take so
-// long that a queue stands nearly everywhere, what was answered meanwhile is what the fleet can do. That,
-// less the queue, is let in while it drains, and then most of it without waiting for reports. Guards against
-// bursts, slowdowns, lost zones and repeats by clients; hurts where answers are slow for no reason of load.
+// long that a queue stands nearly everywhere, what was answered is what the fleet can do. That, less the queue,
+// is let in while it drains, then most of it without waiting for reports. Guards against bursts, slowdowns,
+// lost zones and repeats by clients; hurts where answers are slow for no reason of load.
 func (c *Controller) steer(now int64) bool {
 	a := &c.levels
 	heat, came, let, proven, laid, heard := c.look(now)
@@ -728,8 +728,7 @@
 	return true
 }
 
-// idle tells whether the backends themselves say that little waits and that most of an answer's time passed
-// elsewhere: then proxies stand still, or the way is slow, and letting less in would not help.
+// idle tells whether the backends say themselves that it is not they who are slow: proxies stand still, then.
 func (c *Controller) idle(mean float64) bool {
 	n, busy, waiting, service := 0., 0., 0., 0.
 	for _, b := range c.backends {
@@ -761,7 +760,7 @@
 	}
 }
 
-// waterline is the cap at which capped rates add up to a total below theirs.
+// waterline caps rates so that they add up to a total below theirs.
 func waterline(rates []float64, total float64) float64 {
 	slices.Sort(rates)
 	for i, r := range rates {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -63,8 +63,8 @@
 		s.c.Left(0)
 		s.c.Left(0)
 		s.c.Came(0, 0, 5, second)
-		s.c.Joined(0, 1)
-		s.c.Joined(0, 1)
+		s.c.Joined(0, 1, 10)
+		s.c.Joined(0, 1, 10)
 		s.plays(12, func() { s.hears(0, 4, 4, 0) })
 		if len(s.timers) != 1 {
 			t.Errorf("%d timers run", len(s.timers))
@@ -256,7 +256,7 @@
 	t.Run("whole tables wait while half the backlog is in use", func(t *testing.T) {
 		s := begin(t, usual(), 30, 0)
 		for p := range 28 {
-			s.c.Joined(p, 0)
+			s.c.Joined(p, 0, 10)
 		}
 		if n := len(s.bound); n == 0 || float64(n)*35 > 450 {
 			t.Errorf("%d bound at once", n)
@@ -287,7 +287,7 @@
 	t.Run("on a slow channel nothing is added until marks come back", func(t *testing.T) {
 		s := begin(t, usual(), 30, 0)
 		for p := range 28 {
-			s.c.Joined(p, 0)
+			s.c.Joined(p, 0, 10)
 		}
 		n := len(s.bound)
 		s.now += second
@@ -352,6 +352,25 @@
 			t.Errorf("levels %v as the next wave came", s.levels)
 		}
 	})
+	t.Run("proxies that come from a lost controller are held at once, and bring its share", func(t *testing.T) {
+		s := begin(t, usual(), 8, 2)
+		s.plays(3, jam(s))
+		s.plays(20, func() { s.fine(); s.comes(8, 8) })
+		was := s.c.levels.limit
+		s.c.Joined(2, 0, 100)
+		s.c.Joined(3, 0, 100)
+		s.plays(2, func() {
+			for b := range 8 {
+				s.hears(b, 10, 0, 250_000)
+			}
+		})
+		if l := s.levels["65535 1"]; l <= 0 || l >= 50 {
+			t.Errorf("levels %v before the new ones were heard of", s.levels)
+		}
+		if s.c.levels.limit < 5*was { // they bring ten times the traffic
+			t.Errorf("limit %.1f after %.1f did not grow with the traffic that is ours", s.c.levels.limit, was)
+		}
+	})
 	for name, x := range map[string]struct {
 		load Load
 		cuts bool
@@ -429,7 +448,7 @@
 		}
 		s.c.Left(1) // it goes on writing for a while
 		s.plays(2, nil)
-		s.c.Joined(1, 1) // and is told again when it is back
+		s.c.Joined(1, 1, 10) // and is told again when it is back
 		s.plays(1.5, nil)
 		if s.levels["3 2"] != 0 {
 			t.Error("writes go on though the lost proxy's may be in hand")
--- a/decide/fake_test.go
+++ b/decide/fake_test.go
@@ -111,7 +111,7 @@
 		s.c.Listed(true, all)
 	}
 	for p := range proxies {
-		s.c.Joined(p, p%x.sight.Zones)
+		s.c.Joined(p, p%x.sight.Zones, 10)
 		s.c.Applied(p, s.mark)
 	}
 	return s
--- a/internal/benchwire/door.go
+++ b/internal/benchwire/door.go
@@ -172,7 +172,7 @@
 		in.door.odd("a peer message came, though we never send one")
 	case evEnrolled:
 		if in.in(int(r.u8(8)), in.zones, "zone") {
-			in.control.Joined(in.proxies.number(uint32(r.u16(9))), int(r.u8(8)))
+			in.control.Joined(in.proxies.number(uint32(r.u16(9))), int(r.u8(8)), r.f32(4))
 		}
 	case evLost:
 		if p, ok := in.known(&in.proxies, uint32(r.u16(3)), "proxy"); ok {
