--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,10 +38,10 @@
 	leastCut   = 0.85      // part of the proven throughput that fixed weights can spread without queues
 	deepestCut = 0.1       // a cut leaves this much, so that we go on hearing
 	drain      = 2 * pace  // a queue is drained within this; orders keep the pace, so not faster
-	easeDown   = 0.92      // of the limit at each look, while heat lies between calm and hot ...
-	easeFast   = 1.12      // ... while backends say that they are idle
+	easeDown   = 0.92      // of the limit at each look, while heat lies between calm and hot
+	ahead      = 1.15      // of what is answered now: a limit further ahead is none when it is needed
 	warmest    = 0.7       // part below which warmth is the work's, not the load's, and narrows no further
-	easeUp     = 1.04      // ... while it is calm
+	easeUp     = 0.04      // wider at each look while calm, three times that while backends are idle
 	idleAt     = 0.8       // backends less busy, or with less waiting on average, have no queue
 	elsewhere  = 0.67      // part of the answer time that their service takes at most then
 	leastLet   = 0.05      // part of its demand that the least important class keeps: we go on hearing of it
@@ -186,7 +186,7 @@
 			c.backends, seen = append(c.backends, &backend{}), append(seen, false)
 		}
 		seen[e.Backend] = true
-		c.backends[e.Backend].relist(e, now, c.listedOnce)
+		c.backends[e.Backend].relist(e, now, c.listedOnce, c.sight.LiveWeights)
 	}
 	for i, b := range c.backends {
 		if whole && !seen[i] {
@@ -197,16 +197,15 @@
 	c.publish(now, false)
 }
 
-func (b *backend) relist(e Entry, now int64, entering bool) {
+func (b *backend) relist(e Entry, now int64, entering, live bool) {
 	restarted := b.listed && e.Started > b.Started
 	fresh := !b.listed || b.Condition != Ready || restarted
-	if e.Weight <= 0 {
-		e.Weight = 1
+	if e.Condition == Gone || live { // the size, not the load of the moment; a gone one's line may stand on
+		e.Weight = max(e.Weight, b.Weight)
 	}
-	if b.listed && e.Condition == Gone { // its line may stand on, see usable
-		e.Weight = b.Weight
+	if b.Entry, b.listed = e, true; b.Weight <= 0 {
+		b.Weight = 1
 	}
-	b.Entry, b.listed = e, true
 	if e.Condition != Ready {
 		b.drained = b.drained || e.Condition == Draining
 		return
@@ -678,9 +677,9 @@
 }
 
 // steer settles how much is let in, and tells whether a cut was found. When answers on the whole take so
-// long that a queue stands nearly everywhere, what was answered is what the fleet can do. That, less the queue,
-// is let in while it drains, then most of it without waiting for reports. Guards against bursts, slowdowns,
-// lost zones and repeats by clients; hurts where answers are slow for no reason of load.
+// long that a queue stands nearly everywhere, what was answered is what the fleet can do. That, less the
+// queue, is let in while it drains, then most of it without waiting for reports. Guards against bursts,
+// slowdowns, lost zones and repeats by clients; hurts where answers are slow for no reason of load.
 func (c *Controller) steer(now int64) bool {
 	a := &c.levels
 	heat, came, let, proven, laid, heard := c.look(now)
@@ -700,10 +699,9 @@
 		a.drainedAt, a.holdUntil, cut = now+drain, now+drain+lag, true
 	case a.part > 0 && came <= a.limit:
 		a.able = max(a.able, proven/laid)
-	case a.part > 0 && idle:
-		a.part *= easeFast
-	case a.part > 0 && heat < calmAt:
-		a.part *= easeUp
+	case a.part > 0 && (idle || heat < calmAt):
+		wider := a.part * (1 + easeUp*float64(1+2*count(idle)))
+		a.part = max(a.part, min(wider, ahead*proven/(a.able*laid)))
 	case a.part > warmest:
 		a.part *= easeDown
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -229,6 +229,14 @@
 		}
 		s.weight(2, 2, "when warm")
 	})
+	t.Run("weights that are listed by load stay at the size", func(t *testing.T) {
+		x := usual()
+		x.sight.LiveWeights = true
+		s := begin(t, x, 4, 2)
+		s.c.Listed(false, []Entry{{Backend: 1, Condition: Ready, Weight: 0.6, Zone: 1}})
+		s.plays(5, nil)
+		s.weight(1, 2, "under load")
+	})
 	t.Run("where only draining binds, a dropped backend that answers stays", func(t *testing.T) {
 		x := usual()
 		x.limits.OnlyDrainingBinds = true
--- a/decide/host.go
+++ b/decide/host.go
@@ -154,5 +154,6 @@
 	ReportEvery int64
 	MayProbe    bool
 	MustAsk     bool
+	LiveWeights bool // listed weights fall with the load of the moment
 	AskWithin   int64
 }
--- a/internal/benchwire/facts.go
+++ b/internal/benchwire/facts.go
@@ -173,6 +173,8 @@
 		Zones:       len(f.list("azs")),
 		ReportEvery: f.span("familyInfo.reportEvery"),
 		MayProbe:    f.truth("limits.mayProbe", false),
+		LiveWeights: word(f, "weights", false, map[string]bool{
+			"silent": false, "nominal": false, "rough": false, "live": true}),
 		MustAsk: word(f, "membershipMode", true, map[string]bool{
 			"automatic": false, "subscribe": true}),
 	}
