--- a/decide/decide.go
+++ b/decide/decide.go
@@ -44,6 +44,7 @@
 	easeUp     = 0.04      // wider at each look while calm, three times that while backends are idle
 	idleAt     = 0.8       // backends less busy, or with less waiting on average, have no queue
 	elsewhere  = 0.67      // part of the answer time that their service takes at most then
+	incredible = 0.6       // heat at which that is not believed: the figures may be old, or wrong
 	leastLet   = 0.05      // part of its demand that the least important class keeps: we go on hearing of it
 	sameLevel  = 0.05      // levels that differ by less are one: reports are no finer
 	unlimited  = 1_000_000 // a rate no proxy reaches
@@ -686,7 +687,7 @@
 	if heat == 0 || heard == 0 || a.how == AdmitNone {
 		return false
 	}
-	was, cut, idle := a.bound, false, c.idle(heat*a.expected)
+	was, cut, idle := a.bound, false, heat < incredible && c.idle(heat*a.expected)
 	lag := c.sight.ReportEvery + c.channel.LongestWay + second
 	switch {
 	case now < a.holdUntil:
