--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -381,18 +381,20 @@
 	})
 	for name, x := range map[string]struct {
 		load Load
+		mean int64
 		cuts bool
 	}{
-		"proxies that stand still before idle cores are no overload":    {Load{0.4, -1, -1, -1}, false},
-		"nor are they where nothing waits and service is short":         {Load{-1, -1, 0, 250_000}, false},
-		"but work that shares its cores waits nowhere and takes longer": {Load{-1, -1, 0, 800_000}, true},
-		"and full cores are one":                                        {Load{0.97, -1, -1, -1}, true},
+		"proxies that stand still before idle cores are no overload":    {Load{0.4, -1, -1, -1}, 600_000, false},
+		"nor are they where nothing waits and service is short":         {Load{-1, -1, 0, 250_000}, 600_000, false},
+		"but work that shares its cores waits nowhere and takes longer": {Load{-1, -1, 0, 550_000}, 600_000, true},
+		"full cores are one": {Load{0.97, -1, -1, -1}, 600_000, true},
+		"and figures that started anew from nothing are not believed": {Load{0.1, -1, -1, -1}, 1200_000, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := begin(t, usual(), 8, 3)
 			s.plays(6, func() {
 				for b := range 8 {
-					s.c.Heard(b, 10, 1, 900_000, x.load)
+					s.c.Heard(b, 10, 0, x.mean, x.load)
 				}
 				s.comes(20, 20)
 			})
