--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,7 +23,7 @@
 	entryFor       = 5 * second  // ... for so long
 
 	beat         = second / 4 // how often waiting work is looked at: well under any pace
-	provenSilent = 5          // tries in a row that all failed show a dead backend: proxies use as many
+	provenSilent = 5          // tries in a row that all failed, where others answer, show death: proxies use as many
 	probeEvery   = 3 * second // looks at a withdrawn backend; its state must have had time to change
 	mostFailing  = 1. / 3     // part of the listed weight that failures short of death may take out
 	mostDead     = 3. / 4     // part that may leave altogether: a cut can hide all zones but one
@@ -433,11 +433,8 @@
 		listed += b.Weight
 		if b.away {
 			away += b.Weight
-		} else if b.tries > 0 {
-			shares = append(shares, b.answers())
-			if b.mean > 0 {
-				means = append(means, b.mean)
-			}
+		} else if b.mean > 0 {
+			shares, means = append(shares, b.answers()), append(means, b.mean)
 		}
 	}
 	usual, median, good := middle(shares, 1), middle(means, 0), 0.
@@ -454,9 +451,9 @@
 			b.score = b.mean / median
 		}
 		switch {
-		// Silence counts only with tries: without them it is we who do not know. Answers from before do not
-		// help a backend whose last tries all failed.
-		case b.unheard >= provenSilent || b.tries >= provenSilent && b.failed == b.tries:
+		// Silence counts only with tries: without them it is we who do not know. Where the others answer few
+		// tries, it takes as many more. Answers from before do not help one whose last tries all failed.
+		case float64(b.unheard)*usual > provenSilent*wellAnswered:
 			dead = append(dead, i)
 		// One that answers, but late, has a queue: it carries too much, which is no reason to send all of
 		// it to the next. Only if others fare far better does it lose part of its weight.
