--- a/decide/decide.go
+++ b/decide/decide.go
@@ -329,7 +329,8 @@
 }
 
 func (c *Controller) wanted(b *backend, now int64) float64 {
-	if !c.usable(b, now) || b.away && !c.fallback {
+	// Where proxies heed no levels, nothing but its absence keeps an overload from a cold backend.
+	if !c.usable(b, now) || b.away && !c.fallback || c.levels.flooded && c.cold(b, now) {
 		return 0
 	}
 	return b.Weight * c.share(b, now)
@@ -584,6 +585,7 @@
 	part       float64 // of what is able to be answered; 0 until a queue was seen
 	limit      float64 // units a second
 	bound      bool    // more comes than that
+	flooded    bool    // too much comes, and proxies heed no levels
 	laid, want []float64
 
 	drainedAt, holdUntil int64 // when the queue must be gone, and when reports show it
@@ -681,6 +683,7 @@
 func (c *Controller) steer(now int64) bool {
 	a := &c.levels
 	heat, came, let, proven, laid, heard := c.look(now)
+	a.flooded = a.how == AdmitNone && heat > hotAt
 	if heat == 0 || heard == 0 || a.how == AdmitNone {
 		return false
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -412,14 +412,32 @@
 			t.Errorf("levels %v", s.levels)
 		}
 	})
-	t.Run("where levels are not heeded, none are ordered", func(t *testing.T) {
+	t.Run("where levels are not heeded, cold backends stay out of an overload, and come in after it", func(t *testing.T) {
 		x := usual()
 		x.admit = AdmitNone
 		s := begin(t, x, 8, 3)
 		s.plays(6, jam(s))
-		if len(s.levels) > 0 {
+		s.c.Listed(false, []Entry{{Backend: 8, Condition: Ready, Weight: 2, Started: s.now}})
+		s.plays(4, jam(s))
+		if s.weight(8, 0, "in the overload"); len(s.levels) > 0 {
 			t.Errorf("levels %v", s.levels)
 		}
+		s.plays(4, func() { s.fine() })
+		if s.tables[0][8] == 0 {
+			t.Error("still out after the overload")
+		}
+	})
+	t.Run("under overload a few failures in a row show no death", func(t *testing.T) {
+		s := begin(t, usual(), 8, 3)
+		s.plays(6, func() {
+			for b := range 8 {
+				s.hears(b, 6, 6*count(b == s.c.reports%8)+4*count(b != s.c.reports%8), 900_000)
+			}
+			s.comes(40, 20)
+		})
+		if len(s.tables[0]) != 8 {
+			t.Errorf("table %v", s.tables[0])
+		}
 	})
 	t.Run("a cap adds up to what may come", func(t *testing.T) {
 		if got := waterline([]float64{10, 1, 4}, 9); got != 4 {
