--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,7 +23,7 @@
 	entryFor       = 5 * second  // ... for so long
 
 	beat         = second / 4 // how often waiting work is looked at: well under any pace
-	provenSilent = 5          // tries in a row that all failed, where others answer, show death: proxies use as many
+	provenSilent = 5          // failures in a row that show death where others answer: proxies use as many
 	probeEvery   = 3 * second // looks at a withdrawn backend; its state must have had time to change
 	mostFailing  = 1. / 3     // part of the listed weight that failures short of death may take out
 	mostDead     = 3. / 4     // part that may leave altogether: a cut can hide all zones but one
@@ -32,22 +32,23 @@
 	strainStep   = 0.75       // weight goes down in steps of this: twice is about the spread of rough weights
 
 	// Levels. Heat is the mean answer time over the expected time.
-	hotAt      = 0.45      // from here a queue stands nearly everywhere: its tail misses the expected time
-	calmAt     = 0.3       // below this hardly anything waits
-	restAt     = 0.2       // heat without any queue, about: expected times leave room
-	leastCut   = 0.85      // part of the proven throughput that fixed weights can spread without queues
-	deepestCut = 0.1       // a cut leaves this much, so that we go on hearing
-	drain      = 2 * pace  // a queue is drained within this; orders keep the pace, so not faster
-	easeDown   = 0.92      // of the limit at each look, while heat lies between calm and hot
-	ahead      = 1.15      // of what is answered now: a limit further ahead is none when it is needed
-	warmest    = 0.7       // part below which warmth is the work's, not the load's, and narrows no further
-	easeUp     = 0.04      // wider at each look while calm, three times that while backends are idle
-	idleAt     = 0.8       // backends less busy, or with less waiting on average, have no queue
-	elsewhere  = 0.67      // part of the answer time that their service takes at most then
-	incredible = 0.6       // heat at which that is not believed: the figures may be old, or wrong
-	leastLet   = 0.05      // part of its demand that the least important class keeps: we go on hearing of it
-	sameLevel  = 0.05      // levels that differ by less are one: reports are no finer
-	unlimited  = 1_000_000 // a rate no proxy reaches
+	triesToLook = 40        // fewer take chance for a queue: a look waits for more, but not for long
+	hotAt       = 0.45      // from here a queue stands nearly everywhere: its tail misses the expected time
+	calmAt      = 0.3       // below this hardly anything waits
+	restAt      = 0.2       // heat without any queue, about: expected times leave room
+	leastCut    = 0.85      // part of the proven throughput that fixed weights can spread without queues
+	deepestCut  = 0.1       // a cut leaves this much, so that we go on hearing
+	drain       = 2 * pace  // a queue is drained within this; orders keep the pace, so not faster
+	easeDown    = 0.92      // of the limit at each look, while heat lies between calm and hot
+	ahead       = 1.15      // of what is answered now: a limit further ahead is none when it is needed
+	warmest     = 0.7       // part below which warmth is the work's, not the load's, and narrows no further
+	easeUp      = 0.04      // wider at each look while calm, three times that while backends are idle
+	idleAt      = 0.8       // backends less busy, or with less waiting on average, have no queue
+	elsewhere   = 0.67      // part of the answer time that their service takes at most then
+	incredible  = 0.6       // heat at which that is not believed: the figures may be old, or wrong
+	leastLet    = 0.05      // part of its demand that the least important class keeps: we go on hearing of it
+	sameLevel   = 0.05      // levels that differ by less are one: reports are no finer
+	unlimited   = 1_000_000 // a rate no proxy reaches
 )
 
 // Controller decides for the proxies that are joined to it.
@@ -66,7 +67,7 @@
 
 	publishedAt, lookedAt, askAt, askWait int64
 
-	reports              int // lines since the last look
+	tries                int // heard of since the last look
 	listedOnce, fallback bool
 }
 
@@ -154,10 +155,11 @@
 		c.ask()
 	}
 	cut := c.drained(now)
-	if c.reports > 0 && now-c.lookedAt >= c.sight.ReportEvery {
+	if since := now - c.lookedAt; c.tries > 0 && since >= c.sight.ReportEvery &&
+		(c.tries >= triesToLook || since >= 3*c.sight.ReportEvery) {
 		c.judge(now)
 		cut = c.steer(now) || cut
-		c.lookedAt, c.reports = now, 0
+		c.lookedAt, c.tries = now, 0
 	}
 	c.returns(now)
 	c.publish(now, cut || now-c.publishedAt >= pace)
@@ -238,7 +240,7 @@
 		return
 	}
 	now, b := c.host.Now(), c.backends[id]
-	c.reports++
+	c.tries += tries
 	b.samples = append(b.samples, sample{now, mean * int64(tries-failed), tries, failed})
 	if load.Busy >= 0 || load.Waiting >= 0 {
 		b.load = load
@@ -447,8 +449,7 @@
 		if b.answers() >= wellAnswered {
 			good += b.Weight
 		}
-		b.score = 1
-		if b.mean > 0 && median > 0 {
+		if b.score = 1; b.mean > 0 && median > 0 {
 			b.score = b.mean / median
 		}
 		switch {
@@ -516,7 +517,7 @@
 
 // strain takes weight off a backend that answers, but so much later than others that a queue must stand at
 // it alone: its listed weight is more than it can carry. Guards against rough weights, slow machines and
-// half-dead ones; where times differ by nature and near the expected time, it shifts load for nothing.
+// half-dead ones; shifts load for nothing where times differ by nature. Waits long, for quiet days' weights.
 func (c *Controller) strain(id int, now int64) {
 	b := c.backends[id]
 	if b.strained == 0 {
@@ -525,7 +526,7 @@
 	}
 	b.strained = max(b.strained*strainStep, entryShare)
 	if b.widened || b.widenEvery == 0 {
-		b.widenEvery = max(firstBackoff, min(2*b.widenEvery, longestBackoff))
+		b.widenEvery = min(2*max(b.widenEvery, firstBackoff), longestBackoff)
 	}
 	b.widenAt, b.widened = now+b.widenEvery, false
 	b.samples = nil
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -351,6 +351,19 @@
 			t.Errorf("an overload took backends out: %v", s.tables[0])
 		}
 	})
+	t.Run("a few late answers at a small controller are chance", func(t *testing.T) {
+		s, turn := begin(t, usual(), 4, 2), 0
+		s.plays(20, func() {
+			turn++
+			for b := range 4 {
+				s.hears(b, 4, 0, 250_000+650_000*int64(count(turn%4 == 0)))
+			}
+			s.comes(4, 4)
+		})
+		if len(s.levels) > 0 {
+			t.Errorf("levels %v", s.levels)
+		}
+	})
 	t.Run("a standing limit meets the next wave before a queue forms", func(t *testing.T) {
 		s := begin(t, usual(), 8, 3)
 		s.plays(3, jam(s))
