--- a/decide/decide.go
+++ b/decide/decide.go
@@ -276,8 +276,8 @@
 	c.proxies[id] = &proxy{joined: true, bound: c.owners.exist(), zone: zone, usual: max(usual, 1),
 		rates: slices.Repeat([]float64{usual / float64(n)}, n)}
 	for i := range c.owners.all { // it reads lines from the store, but must hear which writes are held
-		if c.owners.all[i].held > 0 {
-			c.hold(i, c.owners.all[i].owner)
+		if s := &c.owners.all[i]; s.held > 0 {
+			s.held = -1
 		}
 	}
 	c.bindWaiting(now)
@@ -606,7 +606,7 @@
 	return a
 }
 
-// carried is the listed weight behind a backend's line: strain moves load, but takes no capacity away.
+// carried leaves strain aside, which moves load, but takes no capacity away.
 func (b *backend) carried() float64 {
 	if b.strained > 0 {
 		return b.line / b.strained
@@ -666,7 +666,7 @@
 func (c *Controller) demand(class int) (rates []float64) {
 	for _, p := range c.proxies {
 		if p.joined {
-			rates = append(rates, p.rates[class])
+			rates = append(rates, p.rates[class]*float64(count(!c.owners.exist())))
 		}
 	}
 	for _, s := range c.owners.all {
@@ -772,7 +772,6 @@
 	return unlimited
 }
 
-// layLevels orders levels that changed by more than chance explains.
 func (c *Controller) layLevels() bool {
 	a, laid := &c.levels, false
 	for class := range c.classes {
@@ -825,7 +824,6 @@
 	l.lines += lines
 }
 
-// billEach counts lines to each joined proxy that they concern.
 func (c *Controller) billEach(lines float64, concerned func(p *proxy) bool) {
 	for _, p := range c.proxies {
 		if p.joined && concerned(p) {
@@ -910,7 +908,7 @@
 	mine   bool
 	owner  int       // -1 for none
 	rates  []float64 // exchanges a second, by class
-	held   int64     // the orders that stopped writes; 0 if they go on
+	held   int64     // the orders that stopped writes; 0 if they go on, -1 if they must stop
 	freeAt int64     // when the former owner has none in hand; 0 while some proxy may still send it one
 }
 
@@ -926,14 +924,14 @@
 
 func (o *ownership) exist() bool { return len(o.all) > 0 }
 
-// SliceGiven puts a slice in our charge; its lines follow.
 func (c *Controller) SliceGiven(id int) {
-	c.owners.all[id] = slice{mine: true, owner: -1, rates: make([]float64, len(c.classes))}
+	// Unless we just started: whoever had it may have been moving it, and a former owner have writes in hand.
+	unsure := int64(count(c.owners.SingleOwner && c.lookedAt > 0))
+	c.owners.all[id] = slice{mine: true, owner: -1, rates: make([]float64, len(c.classes)), held: -unsure}
 }
 
 func (c *Controller) SliceTaken(id int) { c.owners.all[id] = slice{} }
 
-// SliceLine is a line of a slice's table as the store holds it.
 func (c *Controller) SliceLine(id, backend int, weight float64) {
 	if s := &c.owners.all[id]; s.mine && weight > 0 {
 		s.owner = backend
@@ -960,10 +958,13 @@
 			c.billEach(2, func(*proxy) bool { return true })
 		}
 		from, to := s.owner, c.successor(s, now)
-		if to < 0 || s.held > 0 || !c.channel.open(c.proxies, now, c.limits.Grace, true) {
+		if to < 0 && s.held < 0 {
+			to = from
+		}
+		if s.held > 0 || to < 0 || !c.channel.open(c.proxies, now, c.limits.Grace, true) {
 			continue
 		}
-		if s.owner = to; o.SingleOwner && from >= 0 {
+		if s.owner = to; o.SingleOwner && (from >= 0 || s.held < 0) {
 			c.hold(id, from)
 			continue
 		}
@@ -978,9 +979,9 @@
 // hold stops writes to a slice until its move has settled; reads go on at the new owner where levels work.
 func (c *Controller) hold(id, from int) {
 	s := &c.owners.all[id]
-	if c.levels.how == AdmitNone {
+	if c.levels.how == AdmitNone && from >= 0 {
 		c.host.SetLine(id, from, 0)
-	} else {
+	} else if c.levels.how != AdmitNone {
 		c.host.SetLine(id, s.owner, 1)
 		c.host.Admit(id, c.owners.writes, 0, TryOnce)
 	}
@@ -988,7 +989,6 @@
 	s.held, s.freeAt = c.channel.count, 0
 }
 
-// settled tells whether no write can be in hand at a former owner any more.
 func (c *Controller) settled(s *slice, now int64) bool {
 	for _, p := range c.proxies {
 		if p.joined && p.applied < s.held || p.leftAt > 0 && now-p.leftAt < c.owners.WritesOn {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -465,12 +465,14 @@
 		x := usual()
 		x.partition = Partition{Count: 4, SingleOwner: single, WritesOn: 2500_000, Settle: 2 * second}
 		x.admit = admit
-		s := begin(t, x, 4, 2)
+		s := begin(t, x, 4, 0)
 		for id := range 4 {
 			s.c.SliceGiven(id)
 			s.c.SliceLine(id, id, 1)
 			s.c.SliceCame(id, 0, 10*id, second)
 		}
+		s.c.Joined(0, 0, 10)
+		s.c.Joined(1, 1, 10)
 		s.plays(1, nil)
 		return s
 	}
@@ -500,6 +502,21 @@
 			t.Error("writes are still held")
 		}
 	})
+	t.Run("a slice that comes from another controller may have been on the move", func(t *testing.T) {
+		// Found by a hunt: it had moved the slice just before a cut took it away, and the level was reset.
+		s := start(t, true, AdmitShare)
+		s.plays(5, func() { s.fine() })
+		s.c.SliceGiven(2)
+		s.c.SliceLine(2, 1, 1)
+		s.plays(1, nil)
+		if l, ok := s.levels["2 2"]; !ok || l != 0 {
+			t.Errorf("levels %v", s.levels)
+		}
+		s.plays(3, nil)
+		if s.levels["2 2"] < 1 {
+			t.Error("writes are still held")
+		}
+	})
 	t.Run("where levels are not heeded, the line comes last", func(t *testing.T) {
 		s := start(t, true, AdmitNone)
 		s.c.Listed(false, gone)
