--- a/decide/decide.go
+++ b/decide/decide.go
@@ -935,6 +935,7 @@
 func (c *Controller) SliceLine(id, backend int, weight float64) {
 	if s := &c.owners.all[id]; s.mine && weight > 0 {
 		s.owner = backend
+		c.tendSlices(c.host.Now()) // proxies read the store within moments
 	}
 }
 
@@ -1002,9 +1003,8 @@
 	return now >= s.freeAt
 }
 
-// successor is the backend that a slice must go to, with least to do for its weight; -1 if it may stay.
 func (c *Controller) successor(s *slice, now int64) int {
-	best, least := -1, 0.
+	best, least := -1, 0. // with least to do for its weight; -1 where the slice may stay
 	if !s.mine || s.owner >= 0 && s.owner < len(c.backends) && c.wanted(c.backends[s.owner], now) > 0 {
 		return best
 	}
