--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -397,11 +397,11 @@
 		mean int64
 		cuts bool
 	}{
-		"proxies that stand still before idle cores are no overload":    {Load{0.4, -1, -1, -1}, 600_000, false},
-		"nor are they where nothing waits and service is short":         {Load{-1, -1, 0, 250_000}, 600_000, false},
-		"but work that shares its cores waits nowhere and takes longer": {Load{-1, -1, 0, 550_000}, 600_000, true},
-		"full cores are one": {Load{0.97, -1, -1, -1}, 600_000, true},
-		"and figures that started anew from nothing are not believed": {Load{0.1, -1, -1, -1}, 1200_000, true},
+		"proxies that stand still before idle cores are no overload":    {Load{0.4, -1, -1}, 600_000, false},
+		"nor are they where nothing waits and service is short":         {Load{-1, 0, 250_000}, 600_000, false},
+		"but work that shares its cores waits nowhere and takes longer": {Load{-1, 0, 550_000}, 600_000, true},
+		"full cores are one": {Load{0.97, -1, -1}, 600_000, true},
+		"and figures that started anew from nothing are not believed": {Load{0.1, -1, -1}, 1200_000, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := begin(t, usual(), 8, 3)
--- a/decide/fake_test.go
+++ b/decide/fake_test.go
@@ -71,8 +71,8 @@
 // twoClasses are one that may repeat and one that matters more and may not.
 func twoClasses() []Class {
 	return []Class{
-		{Expected: 1500_000, Outer: 4 * second, Importance: 1, Repeat: RepeatSafe},
-		{Expected: 800_000, Outer: 2 * second, Importance: 3, Repeat: RepeatNever, Writes: true},
+		{Expected: 1500_000, Outer: 4 * second, Importance: 1},
+		{Expected: 800_000, Outer: 2 * second, Importance: 3, Writes: true},
 	}
 }
 
@@ -89,12 +89,11 @@
 func usual() setting {
 	return setting{
 		classes: twoClasses(),
-		channel: Channel{LinesPerS: 900, Head: 4, Backlog: 900, MeanWay: 265_000, LongestWay: 660_000,
+		channel: Channel{LinesPerS: 900, Head: 4, Backlog: 900, LongestWay: 660_000,
 			MessagesMost: 30, MessagesSpan: 10 * second},
-		limits: Limits{Bare: 4700_000, Grace: 3 * second, ColdShare: 0.16, WarmBy: 17 * second,
-			FallMultiple: 3, FallSpan: 2 * second},
-		sight: Sight{Zones: 2, ReportEvery: second},
-		admit: AdmitRate,
+		limits: Limits{Grace: 3 * second, ColdShare: 0.16, WarmBy: 17 * second},
+		sight:  Sight{ReportEvery: second},
+		admit:  AdmitRate,
 	}
 }
 
@@ -105,13 +104,13 @@
 	s.c = New(s, 7, x.classes, x.channel, x.limits, x.partition, x.sight, x.admit)
 	var all []Entry
 	for b := range backends {
-		all = append(all, Entry{Backend: b, Condition: Ready, Weight: 2, Zone: b % x.sight.Zones})
+		all = append(all, Entry{Backend: b, Condition: Ready, Weight: 2, Zone: b % 2})
 	}
 	if backends > 0 {
 		s.c.Listed(true, all)
 	}
 	for p := range proxies {
-		s.c.Joined(p, p%x.sight.Zones, 10)
+		s.c.Joined(p, p%2, 10)
 		s.c.Applied(p, s.mark)
 	}
 	return s
@@ -147,7 +146,7 @@
 
 // hears reports one backend's tries of the last second.
 func (s *stage) hears(b, tries, failed int, mean int64) {
-	s.c.Heard(b, tries, failed, mean, Load{Busy: -1, Held: -1, Waiting: -1, Service: -1})
+	s.c.Heard(b, tries, failed, mean, Load{Busy: -1, Waiting: -1, Service: -1})
 }
 
 // fine reports good answers of all backends but the given ones, and the usual demand at each proxy.
--- a/decide/host.go
+++ b/decide/host.go
@@ -43,36 +43,13 @@
 	Started   int64
 	Weight    float64
 	Zone      int
-	Kind      int
-	Cell      int
 }
 
-// Repeat tells whether an exchange may run again.
-type Repeat uint8
-
-const (
-	RepeatNever Repeat = iota
-	RepeatKeyed
-	RepeatSafe
-)
-
-// Group is the set of backends that drop a repeat of a keyed exchange.
-type Group uint8
-
-const (
-	GroupCell Group = iota
-	GroupZone
-	GroupAll
-)
-
 // Class is one class of exchanges.
 type Class struct {
 	Expected   int64
 	Outer      int64
 	Importance float64
-	Repeat     Repeat
-	Group      Group
-	Window     int64
 	Writes     bool
 	OwnZone    bool
 }
@@ -112,7 +89,6 @@
 // Load is what a backend said of itself; a figure it did not give is negative.
 type Load struct {
 	Busy    float64 // share of its cores at work
-	Held    float64 // exchanges in hand
 	Waiting float64 // exchanges not yet begun
 	Service float64 // recent service time without waiting, microseconds
 }
@@ -122,7 +98,6 @@
 	LinesPerS    float64
 	Head         float64
 	Backlog      float64
-	MeanWay      int64
 	LongestWay   int64
 	MessagesMost int
 	MessagesSpan int64
@@ -130,13 +105,9 @@
 
 // Limits are the figures of the rules.
 type Limits struct {
-	Bare              int64
 	Grace             int64
 	ColdShare         float64
 	WarmBy            int64
-	FallMultiple      float64
-	FallSpan          int64
-	FullMayHaveRun    bool
 	OnlyDrainingBinds bool
 }
 
@@ -150,7 +121,6 @@
 
 // Sight is what a controller may see and how.
 type Sight struct {
-	Zones       int
 	ReportEvery int64
 	MayProbe    bool
 	MustAsk     bool
--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -26,10 +26,8 @@
 const settings = `azs=a,b
 familyInfo.admission=per_second
 familyInfo.backlog=900
-familyInfo.blackhole=4700
 familyInfo.egressPerS=900
 familyInfo.overhead=4
-familyInfo.propagation=265
 familyInfo.pushDelayMax=662.5
 familyInfo.reportEvery=2000
 membershipMode=automatic
@@ -38,8 +36,6 @@
 profiles.0.idempotency=pure
 profiles.0.target=1500
 rules.coldShare=0.16
-rules.fall=2000
-rules.fallMultiple=3
 rules.rampTime=17000
 rules.stopSendingWithin=3000
 `
@@ -105,7 +101,7 @@
 		})
 	}
 	t.Run("unknown codes, words and instances are skipped and said once", func(t *testing.T) {
-		text := strings.Replace(settings, "=pure", "=sometimes", 1)
+		text := strings.Replace(settings, "=automatic", "=sometimes\nrules.askWithin=10000", 1)
 		codes, _, said, err := play(t, frame([]byte(text), create(3, len(text)), []byte{77}, []byte{77}, []byte{2, 9}))
 		if err != nil || !bytes.Equal(codes, []byte{acSleep}) || strings.Count(said, "event code 77") != 1 ||
 			!strings.Contains(said, "sometimes") || !strings.Contains(said, "instance 9") {
--- a/internal/benchwire/door.go
+++ b/internal/benchwire/door.go
@@ -105,7 +105,7 @@
 	channel, limits, classes := f.channel(), f.limits(), f.classes()
 	partition, sight, admission := f.partition(), f.sight(), f.admission()
 	in.fields, in.classes = f.loadFields(), len(classes)
-	in.zones, in.slices = sight.Zones, partition.Count
+	in.zones, in.slices = len(f.list("azs")), partition.Count
 	if f.err == nil && in.zones == 0 {
 		f.fail("azs", "is missing")
 	}
@@ -260,7 +260,7 @@
 		}
 		entries = append(entries, decide.Entry{
 			Backend: in.backends.number(e.u32(18)), Condition: condition, Started: micros(e.f64(0)),
-			Weight: e.f32(11), Zone: int(e.u8(17)), Kind: int(e.u16(8)), Cell: int(e.u16(15)),
+			Weight: e.f32(11), Zone: int(e.u8(17)),
 		})
 	}
 	in.control.Listed(how != 0, entries)
@@ -286,13 +286,11 @@
 }
 
 func (in *instance) load(r record, at int) decide.Load {
-	load := decide.Load{Busy: -1, Held: -1, Waiting: -1, Service: -1}
+	load := decide.Load{Busy: -1, Waiting: -1, Service: -1}
 	for i := range min(int(r.u8(at)), len(in.fields), 4) {
 		switch x := r.f32(at + 1 + 4*i); in.fields[i] {
 		case "cpu":
 			load.Busy = x
-		case "active":
-			load.Held = x
 		case "waiting":
 			load.Waiting = x
 		case "avg_ms":
--- a/internal/benchwire/facts.go
+++ b/internal/benchwire/facts.go
@@ -118,15 +118,8 @@
 			Expected:   f.span(key + "target"),
 			Outer:      f.span(key + "deadline"),
 			Importance: f.maybe(key+"worth", 1),
-			Repeat: word(f, key+"idempotency", decide.RepeatNever, map[string]decide.Repeat{
-				"pure": decide.RepeatSafe, "token": decide.RepeatKeyed, "side_effect": decide.RepeatNever}),
-			Writes:  at(writes, i, true),
-			OwnZone: at(own, i, false),
-		}
-		if class.Repeat == decide.RepeatKeyed {
-			class.Group = word(f, key+"dedupScope", decide.GroupCell, map[string]decide.Group{
-				"all": decide.GroupAll, "zone": decide.GroupZone, "cell": decide.GroupCell})
-			class.Window = micros(f.maybe(key+"repeatWindow", 0))
+			Writes:     at(writes, i, true),
+			OwnZone:    at(own, i, false),
 		}
 		classes = append(classes, class)
 	}
@@ -138,7 +131,6 @@
 		LinesPerS:    f.number("familyInfo.egressPerS"),
 		Head:         f.number("familyInfo.overhead"),
 		Backlog:      f.number("familyInfo.backlog"),
-		MeanWay:      f.span("familyInfo.propagation"),
 		LongestWay:   f.span("familyInfo.pushDelayMax"),
 		MessagesMost: int(min(f.maybe("familyInfo.messagesMost", 0), math.MaxInt32)),
 		MessagesSpan: micros(f.maybe("familyInfo.messagesOver", 0)),
@@ -147,13 +139,9 @@
 
 func (f *facts) limits() decide.Limits {
 	return decide.Limits{
-		Bare:              f.span("familyInfo.blackhole"),
 		Grace:             f.span("rules.stopSendingWithin"),
 		ColdShare:         f.number("rules.coldShare"),
 		WarmBy:            f.span("rules.rampTime"),
-		FallMultiple:      f.number("rules.fallMultiple"),
-		FallSpan:          f.span("rules.fall"),
-		FullMayHaveRun:    f.truth("rules.fullMayHaveRun", false),
 		OnlyDrainingBinds: f.truth("rules.droppedStayOpen", false),
 	}
 }
@@ -170,7 +158,6 @@
 
 func (f *facts) sight() decide.Sight {
 	s := decide.Sight{
-		Zones:       len(f.list("azs")),
 		ReportEvery: f.span("familyInfo.reportEvery"),
 		MayProbe:    f.truth("limits.mayProbe", false),
 		LiveWeights: word(f, "weights", false, map[string]bool{
