--- a/decide/decide.go
+++ b/decide/decide.go
@@ -470,7 +470,7 @@
 	}
 	// A mistake must not put the load of many on a few: the dead leave only while others are seen at work.
 	most := mostFailing
-	if good >= (1-mostDead)*listed {
+	if good >= (1-mostDead)*listed && !c.levels.bound { // under a limit the others have no room
 		most = mostDead
 	}
 	away = c.leave(dead, now, away, most*listed)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -373,6 +373,20 @@
 			t.Errorf("levels %v as the next wave came", s.levels)
 		}
 	})
+	t.Run("while the limit acts no more than a third may leave", func(t *testing.T) {
+		// Found by a hunt: ten backends left at once as dead, and cold ones were pushed over.
+		s := begin(t, usual(), 9, 3)
+		s.plays(4, jam(s))
+		s.plays(4, func() {
+			for b := range 9 {
+				s.hears(b, 12, 12*count(b > 3), 300_000)
+			}
+			s.comes(40, 20)
+		})
+		if len(s.tables[0]) != 6 {
+			t.Errorf("table %v, want six of nine", s.tables[0])
+		}
+	})
 	t.Run("proxies that come from a lost controller are held at once, and bring its share", func(t *testing.T) {
 		s := begin(t, usual(), 8, 2)
 		s.plays(3, jam(s))
