A jam is the measure: able is at most 1.5 of what it answers, and the hot keep their backends

Now a jammed fleet's throughput bounds what it is thought able to do; while it is hot no more than a third leaves and cold lines do not grow.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,6 +41,7 @@
 	drain       = 2 * pace  // a queue is drained within this; orders keep the pace, so not faster
 	easeDown    = 0.92      // of the limit at each look, while heat lies between calm and hot
 	ahead       = 1.15      // of what is answered now: a limit further ahead is none when it is needed
+	jammed      = 1.5       // times what a jammed fleet answers at a look is the most that it can do
 	warmest     = 0.7       // part below which warmth is the work's, not the load's, and narrows no further
 	easeUp      = 0.04      // wider at each look while calm, three times that while backends are idle
 	idleAt      = 0.8       // backends less busy, or with less waiting on average, have no queue
@@ -165,8 +166,6 @@
 	c.publish(now, cut || now-c.publishedAt >= pace)
 }
 
-// ---- the list
-
 // ask asks for the list. An answer, or a failure, always comes.
 func (c *Controller) ask() {
 	c.host.Watch()
@@ -223,7 +222,6 @@
 	}
 }
 
-// forget drops what was heard of a backend, so that old failures do not count against a new try.
 func (b *backend) forget(now int64) { b.samples, b.unheard, b.answered = nil, 0, now }
 
 // usable leaves the score aside. Where only draining binds, a list that dropped one which answers is wrong.
@@ -322,17 +320,22 @@
 	if c.cold(b, now) {
 		sure := c.limits.ColdShare + (1-c.limits.ColdShare)*float64(now-b.Started)/float64(c.limits.WarmBy)
 		part = min(part, max(float64(int(sure*4))/4, c.limits.ColdShare))
+		if c.hot() && b.line > 0 { // no more for it while there is more than all can do
+			part = min(part, b.line/b.Weight)
+		}
 	}
 	return part
 }
 
+func (c *Controller) hot() bool { return c.levels.bound || c.levels.heat > hotAt }
+
 func (c *Controller) cold(b *backend, now int64) bool {
 	return b.Started > 0 && b.Started <= now && now-b.Started < c.limits.WarmBy
 }
 
 func (c *Controller) wanted(b *backend, now int64) float64 {
 	// Where proxies heed no levels, nothing but its absence keeps an overload from a cold backend.
-	if !c.usable(b, now) || b.away && !c.fallback || c.levels.flooded && c.cold(b, now) {
+	if !c.usable(b, now) || b.away && !c.fallback || c.levels.how == AdmitNone && c.hot() && c.cold(b, now) {
 		return 0
 	}
 	return b.Weight * c.share(b, now)
@@ -422,8 +425,6 @@
 	}
 }
 
-// ---- scores
-
 // judge scores every backend and settles which leave R.
 func (c *Controller) judge(now int64) {
 	var shares, means []float64
@@ -470,7 +471,7 @@
 	}
 	// A mistake must not put the load of many on a few: the dead leave only while others are seen at work.
 	most := mostFailing
-	if good >= (1-mostDead)*listed && !c.levels.bound { // under a limit the others have no room
+	if good >= (1-mostDead)*listed && !c.hot() { // else the others have no room
 		most = mostDead
 	}
 	away = c.leave(dead, now, away, most*listed)
@@ -573,8 +574,6 @@
 	}
 }
 
-// ---- levels
-
 // admission is what we let in, in units: an exchange counts its expected time, as nothing gives its work.
 type admission struct {
 	how        Admission
@@ -586,7 +585,7 @@
 	part       float64 // of what is able to be answered; 0 until a queue was seen
 	limit      float64 // units a second
 	bound      bool    // more comes than that
-	flooded    bool    // too much comes, and proxies heed no levels
+	heat       float64 // at the last look
 	laid, want []float64
 
 	drainedAt, holdUntil int64 // when the queue must be gone, and when reports show it
@@ -606,8 +605,7 @@
 	return a
 }
 
-// carried leaves strain aside, which moves load, but takes no capacity away.
-func (b *backend) carried() float64 {
+func (b *backend) carried() float64 { // strain moves load, but takes no capacity away
 	if b.strained > 0 {
 		return b.line / b.strained
 	}
@@ -684,7 +682,7 @@
 func (c *Controller) steer(now int64) bool {
 	a := &c.levels
 	heat, came, let, proven, laid, heard := c.look(now)
-	a.flooded = a.how == AdmitNone && heat > hotAt
+	a.heat = heat
 	if heat == 0 || heard == 0 || a.how == AdmitNone {
 		return false
 	}
@@ -694,6 +692,7 @@
 	case now < a.holdUntil:
 	case heat > hotAt && !idle:
 		smooth(&a.able, proven/heard)
+		a.able = min(a.able, jammed*proven/heard) // what was proven before a cut or a loss holds no more
 		// The queue before a new exchange, in seconds of work, with what came while we did not know.
 		queue := (heat - restAt) * a.expected / float64(second)
 		queue += max(0, let/(a.able*heard)-1) * float64(lag) / float64(second)
@@ -790,8 +789,6 @@
 	return laid
 }
 
-// ---- the channel
-
 // ledger counts lines until their mark, or a later one, has come back, so it holds when the channel is slow.
 type ledger struct {
 	Channel
@@ -865,9 +862,8 @@
 	}
 }
 
-// fits tells whether lines may go: all but what the rules need waits while half the backlog is in use.
+// fits tells whether lines may go: what no rule needs, as of a growing fleet, waits at half the backlog.
 func (l *ledger) fits(cost float64, must bool) bool {
-	// A fleet that grows or shrinks at once would fill the channel: the rest follows as it empties.
 	return l.lines == 0 || l.lines+cost <= l.Backlog/2 || must && l.lines+cost <= l.Backlog
 }
 
@@ -895,8 +891,6 @@
 	})
 }
 
-// ---- slices
-
 // ownership is what we hold of the slices in our charge. A slice's table is one line, its owner.
 type ownership struct {
 	Partition
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -373,6 +373,22 @@
 			t.Errorf("levels %v as the next wave came", s.levels)
 		}
 	})
+	t.Run("what was proven before does not hold in a jam that answers less", func(t *testing.T) {
+		// Found by a hunt: the limit stood at twice what was answered, let all in, and cold ones fell over.
+		s := begin(t, usual(), 8, 3)
+		s.plays(3, func() {
+			for b := range 8 {
+				s.hears(b, 60, 0, 900_000)
+			}
+			s.comes(200, 100)
+		})
+		s.plays(20, func() { s.fine() })
+		s.plays(2, jam(s))
+		weight, answered := 8*2*3*10., 8*9*1.5
+		if able := s.c.levels.able * weight; able > 1.5*answered {
+			t.Errorf("%.1f units thought able to be answered, %.1f were", able, answered)
+		}
+	})
 	t.Run("while the limit acts no more than a third may leave", func(t *testing.T) {
 		// Found by a hunt: ten backends left at once as dead, and cold ones were pushed over.
 		s := begin(t, usual(), 9, 3)
