The first look counts from the start, not from the clock's zero

Found by a story that could not fail: an overload at the very first look was taken for a fleet that can do nothing.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -115,7 +115,7 @@
 func New(host Host, seed uint64, classes []Class, channel Channel, limits Limits, partition Partition,
 	sight Sight, admit Admission) *Controller {
 	c := &Controller{host: host, seed: seed, limits: limits, sight: sight, classes: classes,
-		channel: ledger{Channel: channel}, levels: newAdmission(admit, classes),
+		lookedAt: host.Now(), channel: ledger{Channel: channel}, levels: newAdmission(admit, classes),
 		owners: newOwnership(partition, classes)}
 	for i, class := range classes {
 		if class.OwnZone {
@@ -920,7 +920,7 @@
 
 func (c *Controller) SliceGiven(id int) {
 	// Unless we just started: whoever had it may have been moving it, and a former owner have writes in hand.
-	unsure := int64(count(c.owners.SingleOwner && c.lookedAt > 0))
+	unsure := int64(count(c.owners.SingleOwner && c.levels.expected > 0))
 	c.owners.all[id] = slice{mine: true, owner: -1, rates: make([]float64, len(c.classes)), held: -unsure}
 }
 
