--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -555,6 +556,23 @@
 			t.Error("writes are still held")
 		}
 	})
+	t.Run("holds are told again once, however many proxies join", func(t *testing.T) {
+		// Found by a hunt: every joining proxy had every hold told again to all, and the channel overflowed.
+		s := start(t, true, AdmitShare)
+		s.c.Listed(false, gone)
+		before := len(s.script)
+		for p := 2; p < 12; p++ {
+			s.c.Joined(p, 0, 10)
+		}
+		s.plays(1, nil)
+		told := 0
+		for _, line := range s.script[before:] {
+			told += count(strings.HasSuffix(line, "admit 3 2 0.00 0"))
+		}
+		if told != 1 {
+			t.Errorf("the hold was told %d times", told)
+		}
+	})
 	t.Run("where levels are not heeded, the line comes last", func(t *testing.T) {
 		s := start(t, true, AdmitNone)
 		s.c.Listed(false, gone)
