A backend that kept its line while the list had dropped it is not new

Cause: when the true list came back, all that it had dropped entered at a quarter of their weight for 5 s, so the few that it had kept were buried, and a limit went down with the weight. Guards against any list that drops and takes back; restarts are still known by their start time.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -201,7 +201,9 @@
 
 func (b *backend) relist(e Entry, now int64, entering, live bool) {
 	restarted := b.listed && e.Started > b.Started
-	fresh := !b.listed || b.Condition != Ready || restarted
+	// One that kept its line while a wrong list had dropped it is neither new nor cold: entering all of
+	// those at a quarter would bury the few that the list had left.
+	fresh := !b.listed || restarted || b.Condition != Ready && b.line == 0
 	if e.Condition == Gone || live { // the size, not the load of the moment; a gone one's line may stand on
 		e.Weight = max(e.Weight, b.Weight)
 	}
