A dropped backend stays until its tries fail, not while answers are heard

Where gone does not bind, silence without tries is ignorance: at size a backend is heard of too seldom for a span of answers. It leaves R as dead like any other, beyond the cap when the list says gone as well, and then cannot return before the list has it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -229,7 +229,7 @@
 // usable leaves the score aside. Where only draining binds, a list that dropped one which answers is wrong.
 func (c *Controller) usable(b *backend, now int64) bool {
 	if b.Condition == Gone {
-		return c.limits.OnlyDrainingBinds && !b.drained && b.answered > now-replyTimeout && b.line > 0
+		return c.limits.OnlyDrainingBinds && !b.drained && !b.away && b.line > 0
 	}
 	return b.listed && b.Condition == Ready
 }
@@ -485,7 +485,7 @@
 	for _, id := range ids {
 		b := c.backends[id]
 		b.score = -1
-		if away+b.Weight > most {
+		if away+b.Weight > most && b.Condition != Gone {
 			continue
 		}
 		away += b.Weight
