--- a/decide/decide.go
+++ b/decide/decide.go
@@ -255,15 +255,15 @@
 // Came is what came to a proxy, refused exchanges and repeats by clients among it.
 func (c *Controller) Came(id, class, count int, span int64) {
 	if id < len(c.proxies) && c.proxies[id].joined && span > 0 {
-		smooth(&c.proxies[id].rates[class], float64(count)/float64(span)*float64(second))
+		c.smooth(&c.proxies[id].rates[class], count, span)
 	}
 }
 
-func smooth(old *float64, now float64) {
-	if *old == 0 {
-		*old = now
-	}
-	*old = (*old + now) / 2
+// smooth weighs a count with its span: a proxy that gets little has no line in most periods, and were each
+// line to count alike, it would seem to get more than it does. An old figure weighs as much as one period.
+func (c *Controller) smooth(rate *float64, count int, span int64) {
+	memory := float64(c.sight.ReportEvery)
+	*rate = (*rate*memory + float64(count)*float64(second)) / (memory + float64(span))
 }
 
 // Joined: the proxy holds stale tables until it is bound, so it is bound as soon as the channel has room.
@@ -693,7 +693,10 @@
 	switch {
 	case now < a.holdUntil:
 	case heat > hotAt && !idle:
-		smooth(&a.able, proven/heard)
+		if a.able == 0 {
+			a.able = proven / heard
+		}
+		a.able = (a.able + proven/heard) / 2
 		a.able = min(a.able, jammed*proven/heard) // what was proven before a cut or a loss holds no more
 		// The queue before a new exchange, in seconds of work, with what came while we did not know.
 		queue := (heat - restAt) * a.expected / float64(second)
@@ -937,7 +940,7 @@
 
 func (c *Controller) SliceCame(id, class, count int, span int64) {
 	if s := &c.owners.all[id]; s.mine && span > 0 {
-		smooth(&s.rates[class], float64(count)/float64(span)*float64(second))
+		c.smooth(&s.rates[class], count, span)
 	}
 }
 
