--- a/decide/decide.go
+++ b/decide/decide.go
@@ -706,8 +706,8 @@
 	case a.part > 0 && came <= a.limit:
 		a.able = max(a.able, proven/laid)
 	case a.part > 0 && (idle || heat < calmAt):
-		wider := a.part * (1 + easeUp*float64(1+2*count(idle)))
-		a.part = max(a.part, min(wider, ahead*proven/(a.able*laid)))
+		wider := a.part * (1 + 3*easeUp*float64(count(idle)))
+		a.part = max(a.part*(1+easeUp), min(wider, ahead*proven/(a.able*laid)))
 	case a.part > warmest:
 		a.part *= easeDown
 	}
