A cut is reckoned against all lines, and failures in good time are work done

Cause: at size only part of the fleet is heard of in one look, and the rest was taken for lost: a heat of 0.5 was answered by a cut to 0.54 of what came. And where answers are lost though the work was done, capacity was put too low by their share.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -638,6 +638,8 @@
 		// Failures of a backend that answers late are time-outs in its queue, and say how long that is.
 		if late/float64(answered) > calmAt*a.expected {
 			tries, took = tries+failed, took+float64(failed)*a.outer/2
+		} else {
+			answers += failed // errors and lost answers in good time: it had room for them
 		}
 	}
 	exchanges := 0.
@@ -700,7 +702,7 @@
 		a.able = min(a.able, jammed*proven/heard) // what was proven before a cut or a loss holds no more
 		// The queue before a new exchange, in seconds of work, with what came while we did not know.
 		queue := (heat - restAt) * a.expected / float64(second)
-		queue += max(0, let/(a.able*heard)-1) * float64(lag) / float64(second)
+		queue += max(0, let/(a.able*laid)-1) * float64(lag) / float64(second)
 		a.part = max(deepestCut, leastCut-queue*float64(second)/float64(drain))
 		a.drainedAt, a.holdUntil, cut = now+drain, now+drain+lag, true
 	case a.part > 0 && came <= a.limit:
