Demand is trimmed to what was counted, heat needs the median, five guards go

The sum is now trimmed to what was counted at all of them since the last look. - A backend just strained lost its reports, so the heat left out the very ones that were jammed, and capacity was put on those that were lost. Now all count for heat; a cut needs the median backend warm too; and only those that keep up with the median say what a weight can do. - Backends are idle if most say so, not if they are on average: a few jammed ones hid hundreds. - Where heat says that nothing waits, the limit widens as fast as where backends say so.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,32 +24,28 @@
 
 	beat         = second / 4 // how often waiting work is looked at: well under any pace
 	provenSilent = 5          // failures in a row that show death where others answer: proxies use as many
-	probeEvery   = 3 * second // looks at a withdrawn backend; its state must have had time to change
-	mostFailing  = 1. / 3     // part of the listed weight that failures short of death may take out
-	mostDead     = 3. / 4     // part that may leave altogether: a cut can hide all zones but one
+	mostAway     = 3. / 4     // part of the listed weight that may leave: a cut can hide all zones but one
 	wellAnswered = 0.8        // a share of answers that shows a backend, or the fleet, at work
 	strainAt     = 2.0        // a score (times the median) that is no chance where a queue stands as well
 	strainStep   = 0.75       // weight goes down in steps of this: twice is about the spread of rough weights
 
 	// Levels. Heat is the mean answer time over the expected time.
-	triesToLook = 40        // fewer take chance for a queue: a look waits for more, but not for long
-	hotAt       = 0.45      // from here a queue stands nearly everywhere: its tail misses the expected time
-	calmAt      = 0.3       // below this hardly anything waits
-	restAt      = 0.2       // heat without any queue, about: expected times leave room
-	leastCut    = 0.85      // part of the proven throughput that fixed weights can spread without queues
-	deepestCut  = 0.1       // a cut leaves this much, so that we go on hearing
-	drain       = 2 * pace  // a queue is drained within this; orders keep the pace, so not faster
-	easeDown    = 0.92      // of the limit at each look, while heat lies between calm and hot
-	ahead       = 1.15      // of what is answered now: a limit further ahead is none when it is needed
-	jammed      = 1.5       // times what a jammed fleet answers at a look is the most that it can do
-	warmest     = 0.7       // part below which warmth is the work's, not the load's, and narrows no further
-	easeUp      = 0.04      // wider at each look while calm, three times that while backends are idle
-	idleAt      = 0.8       // backends less busy, or with less waiting on average, have no queue
-	elsewhere   = 0.67      // part of the answer time that their service takes at most then
-	incredible  = 0.6       // heat at which that is not believed: the figures may be old, or wrong
-	leastLet    = 0.05      // part of its demand that the least important class keeps: we go on hearing of it
-	sameLevel   = 0.05      // levels that differ by less are one: reports are no finer
-	unlimited   = 1_000_000 // a rate no proxy reaches
+	hotAt      = 0.45      // from here a queue stands nearly everywhere: its tail misses the expected time
+	calmAt     = 0.3       // below this hardly anything waits
+	restAt     = 0.2       // heat without any queue, about: expected times leave room
+	jammed     = 1.5       // times what a jammed fleet answers at a look is the most that it can do
+	leastCut   = 0.85      // part of the proven throughput that fixed weights can spread without queues
+	deepestCut = 0.1       // a cut leaves this much, so that we go on hearing
+	drain      = 2 * pace  // a queue is drained within this; orders keep the pace, so not faster
+	ahead      = 1.15      // of what is answered now: a limit further ahead is none when it is needed
+	easeUp     = 0.04      // wider at each look while calm, three times that while backends are idle
+	idleAt     = 0.8       // backends less busy, or with less waiting on average, have no queue
+	elsewhere  = 0.67      // part of the answer time that their service takes at most then
+	incredible = 0.6       // heat at which that is not believed: the figures may be old, or wrong
+	leastTrim  = 0.5       // rates stand too high by less than this: a proxy with no line in most periods
+	leastLet   = 0.05      // part of its demand that the least important class keeps: we go on hearing of it
+	sameLevel  = 0.05      // levels that differ by less are one: reports are no finer
+	unlimited  = 1_000_000 // a rate no proxy reaches
 )
 
 // Controller decides for the proxies that are joined to it.
@@ -80,20 +76,19 @@
 	out             bool    // withdrawn from whatever tables proxies hold
 	enteredAt       int64   // when it entered or returned; 0 if it was here from the start
 
-	samples             []sample // what was heard within the reply timeout, and its sums
-	tries, failed       int
-	mean                float64
-	load                Load
-	answered            int64   // when an answer was last heard of
-	unheard             int     // tries without any answer since then
-	score               float64 // mean over the median, 1 if unheard, negative if it left R
-	away                bool
-	backAt, backoff     int64
-	probedAt            int64
-	probed, fooled      bool    // its last return was on a passed probe; such a return failed
-	strained            float64 // part of the listed weight that it is left with; 0 for all of it
-	widenAt, widenEvery int64
-	widened             bool // since it was last strained
+	samples         []sample // what was heard within the reply timeout, and its sums
+	tries, failed   int
+	mean            float64
+	load            Load
+	answered        int64   // when an answer was last heard of
+	unheard         int     // tries without any answer since then
+	score           float64 // mean over the median, 1 if unheard, negative if it left R
+	away            bool
+	backAt, backoff int64
+	probedAt        int64
+	strained        float64 // part of the listed weight that it is left with; 0 for all of it
+	widenAt         int64
+	since           int64 // when that was: what was heard before says nothing of its new weight
 }
 
 type sample struct {
@@ -155,11 +150,10 @@
 	if c.sight.MustAsk && now >= c.askAt {
 		c.ask()
 	}
-	cut := c.drained(now)
-	if since := now - c.lookedAt; c.tries > 0 && since >= c.sight.ReportEvery &&
-		(c.tries >= triesToLook || since >= 3*c.sight.ReportEvery) {
+	cut := false
+	if c.tries > 0 && now-c.lookedAt >= c.sight.ReportEvery {
 		c.judge(now)
-		cut = c.steer(now) || cut
+		cut = c.steer(now)
 		c.lookedAt, c.tries = now, 0
 	}
 	c.returns(now)
@@ -216,7 +210,7 @@
 	}
 	b.drained = false
 	if restarted { // another process: what was heard of the old one says nothing
-		b.away, b.backoff, b.fooled, b.strained = false, 0, false, 0
+		b.away, b.backoff, b.strained = false, 0, 0
 	}
 	if fresh {
 		b.enteredAt = now * int64(count(entering))
@@ -226,7 +220,7 @@
 
 func (b *backend) forget(now int64) { b.samples, b.unheard, b.answered = nil, 0, now }
 
-// usable leaves the score aside. Where only draining binds, a list that dropped one which answers is wrong.
+// usable leaves the score aside. Where only draining binds, one that the list drops is, until its tries fail.
 func (c *Controller) usable(b *backend, now int64) bool {
 	if b.Condition == Gone {
 		return c.limits.OnlyDrainingBinds && !b.drained && !b.away && b.line > 0
@@ -256,11 +250,11 @@
 func (c *Controller) Came(id, class, count int, span int64) {
 	if id < len(c.proxies) && c.proxies[id].joined && span > 0 {
 		c.smooth(&c.proxies[id].rates[class], count, span)
+		c.levels.came[class] += float64(count)
 	}
 }
 
-// smooth weighs a count with its span: a proxy that gets little has no line in most periods, and were each
-// line to count alike, it would seem to get more than it does. An old figure weighs as much as one period.
+// smooth weighs a count with its span, as a proxy that gets little has no line in most periods.
 func (c *Controller) smooth(rate *float64, count int, span int64) {
 	memory := float64(c.sight.ReportEvery)
 	*rate = (*rate*memory + float64(count)*float64(second)) / (memory + float64(span))
@@ -432,7 +426,7 @@
 	var shares, means []float64
 	listed, away := 0., 0.
 	for _, b := range c.backends {
-		b.sum(now)
+		b.tally(now)
 		if !c.usable(b, now) {
 			continue
 		}
@@ -443,15 +437,11 @@
 			shares, means = append(shares, b.answers()), append(means, b.mean)
 		}
 	}
-	usual, median, good := middle(shares, 1), middle(means, 0), 0.
-	var dead, failing []int
+	usual, median := middle(shares, 1), middle(means, 0)
 	for i, b := range c.backends {
 		if !c.usable(b, now) || b.away {
 			continue
 		}
-		if b.answers() >= wellAnswered {
-			good += b.Weight
-		}
 		if b.score = 1; b.mean > 0 && median > 0 {
 			b.score = b.mean / median
 		}
@@ -459,7 +449,7 @@
 		// Silence counts only with tries: without them it is we who do not know. Where the others answer few
 		// tries, it takes as many more. Answers from before do not help one whose last tries all failed.
 		case float64(b.unheard)*usual > provenSilent*wellAnswered:
-			dead = append(dead, i)
+			away = c.leave(i, now, away, mostAway*listed)
 		// One that answers, but late, has a queue: it carries too much, which is no reason to send all of
 		// it to the next. Only if others fare far better does it lose part of its weight.
 		case b.mean >= hotAt*c.levels.expected:
@@ -468,40 +458,34 @@
 			}
 		// Against the median, and only while that is good: what all share condemns nobody.
 		case b.tries >= triesToJudge && usual >= wellAnswered && b.answers() < usual/2:
-			failing = append(failing, i)
+			away = c.leave(i, now, away, mostAway*listed)
 		}
 	}
-	// A mistake must not put the load of many on a few: the dead leave only while others are seen at work.
-	most := mostFailing
-	if good >= (1-mostDead)*listed && !c.hot() { // else the others have no room
-		most = mostDead
-	}
-	away = c.leave(dead, now, away, most*listed)
-	c.leave(failing, now, away, mostFailing*listed)
 }
 
-// leave takes backends out of R while the weight that is away stays under the most that may be.
-func (c *Controller) leave(ids []int, now int64, away, most float64) float64 {
-	for _, id := range ids {
-		b := c.backends[id]
-		b.score = -1
-		if away+b.Weight > most && b.Condition != Gone {
-			continue
-		}
-		away += b.Weight
-		b.away, b.fooled = true, b.fooled || b.probed
-		b.backoff = max(firstBackoff, min(2*b.backoff, longestBackoff))
-		b.backAt, b.probedAt = now+b.backoff, now
-		c.logf("backend %d leaves R: %d of %d tries failed, %d s", id, b.failed, b.tries, b.backoff/second)
+// leave takes a backend out of R while the weight that is away stays under the most that may be: a mistake
+// must not put the load of many on a few. Where the list says gone as well, it is none.
+func (c *Controller) leave(id int, now int64, away, most float64) float64 {
+	b := c.backends[id]
+	b.score = -1
+	if away+b.Weight > most && b.Condition != Gone {
+		return away
 	}
-	return away
+	b.away = true
+	b.backoff = max(firstBackoff, min(2*b.backoff, longestBackoff))
+	b.backAt, b.probedAt = now+b.backoff, now
+	c.logf("backend %d leaves R: %d of %d tries failed, %d s", id, b.failed, b.tries, b.backoff/second)
+	return away + b.Weight
 }
 
-func (b *backend) sum(now int64) {
+func (b *backend) tally(now int64) {
 	b.samples = slices.DeleteFunc(b.samples, func(s sample) bool { return s.at <= now-replyTimeout })
 	took := int64(0)
 	b.tries, b.failed, b.mean = 0, 0, 0
 	for _, s := range b.samples {
+		if s.at <= b.since {
+			continue
+		}
 		b.tries, b.failed, took = b.tries+s.tries, b.failed+s.failed, took+s.took
 	}
 	if b.failed < b.tries {
@@ -519,8 +503,7 @@
 }
 
 // strain takes weight off a backend that answers, but so much later than others that a queue must stand at
-// it alone: its listed weight is more than it can carry. Guards against rough weights, slow machines and
-// half-dead ones; shifts load for nothing where times differ by nature. Waits long, for quiet days' weights.
+// it alone. Guards against rough weights, slow and ageing machines; hurts where times differ by nature.
 func (c *Controller) strain(id int, now int64) {
 	b := c.backends[id]
 	if b.strained == 0 {
@@ -528,11 +511,8 @@
 		c.logf("backend %d strained: answers take %.1f times the median", id, b.score)
 	}
 	b.strained = max(b.strained*strainStep, entryShare)
-	if b.widened || b.widenEvery == 0 {
-		b.widenEvery = min(2*max(b.widenEvery, firstBackoff), longestBackoff)
-	}
-	b.widenAt, b.widened = now+b.widenEvery, false
-	b.samples = nil
+	b.widenAt = now + 2*firstBackoff
+	b.since = now
 }
 
 // returns brings withdrawn backends back after their time, or probes them, and widens strained ones. When
@@ -542,12 +522,12 @@
 	for i, b := range c.backends {
 		if b.away && now >= b.backAt {
 			c.comeBack(i, now, false)
-		} else if b.away && c.sight.MayProbe && !b.fooled && now-b.probedAt >= probeEvery {
+		} else if b.away && c.sight.MayProbe && now-b.probedAt >= b.backoff/3 {
 			b.probedAt = now
 			c.host.Probe(i)
 		}
 		if b.strained > 0 && now >= b.widenAt {
-			b.widenAt, b.widened = now+b.widenEvery, true
+			b.widenAt = now + 2*firstBackoff
 			if b.strained /= strainStep; b.strained > 1-sameLevel {
 				b.strained = 0
 			}
@@ -563,15 +543,14 @@
 
 func (c *Controller) comeBack(id int, now int64, probed bool) {
 	b := c.backends[id]
-	b.away, b.probed, b.enteredAt = false, probed, now
+	b.away, b.enteredAt = false, now
 	b.forget(now)
 	c.logf("backend %d returns to R, probed %v, after %d s", id, probed, b.backoff/second)
 }
 
-// Probed is how a probe ended. A pass shows little more than that the process runs: once such a return has
-// failed, the probes of that backend are believed no longer.
+// Probed is how a probe ended. A pass may show little more than that the process runs.
 func (c *Controller) Probed(id int, outcome Outcome) {
-	if id < len(c.backends) && outcome == Answered && c.backends[id].away && !c.backends[id].fooled {
+	if id < len(c.backends) && outcome == Answered && c.backends[id].away {
 		c.comeBack(id, c.host.Now(), true)
 	}
 }
@@ -589,6 +568,8 @@
 	bound      bool    // more comes than that
 	heat       float64 // at the last look
 	laid, want []float64
+	came       []float64 // exchanges counted since the last look
+	trim       []float64 // what was counted in all, over the sum of the proxies' rates
 
 	drainedAt, holdUntil int64 // when the queue must be gone, and when reports show it
 }
@@ -596,6 +577,7 @@
 func newAdmission(how Admission, classes []Class) admission {
 	a := admission{how: how, laid: make([]float64, len(classes)), want: make([]float64, len(classes))}
 	for i, class := range classes {
+		a.came, a.trim = append(a.came, 0), append(a.trim, 1)
 		a.order = append(a.order, i)
 		a.outer = max(a.outer, float64(class.Outer))
 		a.units = append(a.units, max(float64(class.Expected)/float64(second), 1e-3))
@@ -614,17 +596,24 @@
 	return b.line
 }
 
-// look sums up the reports since the last: heat, the units a second that came, passed the levels and were
-// answered, and the listed weight behind our lines, and behind those that answered, both times the ordinary
-// traffic of our proxies: when those of another controller come to us, so does its share.
-func (c *Controller) look(now int64) (heat, came, let, proven, laid, heard float64) {
+// reading is what the reports since the last look say.
+type reading struct {
+	heat, median        float64 // of all answers, and that of the median backend
+	came, let, answered float64 // units a second, at all, past the levels, and by backends that keep up
+	// Listed weight behind our lines, and behind those that keep up, both times the ordinary traffic of our
+	// proxies: when those of another controller come to us, so does its share.
+	laid, heard float64
+}
+
+func (c *Controller) look(now int64) (r reading) {
 	a := &c.levels
+	var means []float64
 	tries, answers, took, ours := 0, 0, 0., 0.
 	for _, p := range c.proxies {
 		ours += p.usual
 	}
 	for _, b := range c.backends {
-		laid += b.carried() * ours
+		r.laid += b.carried() * ours
 		answered, failed, late := 0, 0, 0.
 		for _, s := range b.samples {
 			if s.at > c.lookedAt {
@@ -634,41 +623,66 @@
 		if answered == 0 {
 			continue
 		}
-		tries, answers, took, heard = tries+answered, answers+answered, took+late, heard+b.carried()*ours
+		mean := late / float64(answered)
+		means = append(means, mean)
+		tries, took = tries+answered, took+late
+		// One that lags far behind the median says how slow things are, but not what a weight can do.
+		if b.score < strainAt {
+			answers, r.heard = answers+answered, r.heard+b.carried()*ours
+		}
 		// Failures of a backend that answers late are time-outs in its queue, and say how long that is.
-		if late/float64(answered) > calmAt*a.expected {
+		// Others, errors and lost answers, are work done.
+		if mean > calmAt*a.expected {
 			tries, took = tries+failed, took+float64(failed)*a.outer/2
 		} else {
-			answers += failed // errors and lost answers in good time: it had room for them
+			answers += failed
 		}
 	}
 	exchanges := 0.
 	for class := range c.classes {
-		for _, r := range c.demand(class) {
-			came += r * a.units[class]
+		rates := c.demand(class)
+		a.trimTo(class, rates, float64(now-c.lookedAt)/float64(second))
+		for _, rate := range rates {
+			r.came += rate * a.units[class]
 			if a.laid[class] > 0 && a.how == AdmitRate {
-				r = min(r, a.laid[class])
+				rate = min(rate, a.laid[class])
 			} else if a.laid[class] > 0 {
-				r *= a.laid[class]
+				rate *= a.laid[class]
 			}
-			exchanges += r
-			let += r * a.units[class]
+			exchanges += rate
+			r.let += rate * a.units[class]
 		}
 	}
 	if tries > 0 && exchanges > 0 {
-		a.expected = let / exchanges * float64(second)
-		heat = took / float64(tries) / a.expected
+		a.expected = r.let / exchanges * float64(second)
+		r.heat, r.median = took/float64(tries)/a.expected, middle(means, 0)/a.expected
 		// Reports that a stall of ours held back come together, and are counted over the whole time.
-		proven = float64(answers) / float64(now-c.lookedAt) * a.expected
+		r.answered = float64(answers) / float64(now-c.lookedAt) * a.expected
+	}
+	return r
+}
+
+// trimTo follows what was counted at all proxies together. Each proxy's rate stands from one line of its to
+// the next, which at one that gets little lies above what comes to it; over hundreds that adds up.
+func (a *admission) trimTo(class int, rates []float64, seconds float64) {
+	if total := sum(rates); a.came[class] > 0 && total > 0 {
+		a.trim[class] = max(leastTrim, min(1, a.trim[class]*(1+a.came[class]/seconds/total)/2))
+		a.came[class] = 0
 	}
-	return
+}
+
+func sum(values []float64) (total float64) {
+	for _, v := range values {
+		total += v
+	}
+	return total
 }
 
 // demand is what comes to each joined proxy; for slices it is spread evenly, as nothing says who sent it.
 func (c *Controller) demand(class int) (rates []float64) {
 	for _, p := range c.proxies {
 		if p.joined {
-			rates = append(rates, p.rates[class]*float64(count(!c.owners.exist())))
+			rates = append(rates, p.rates[class]*float64(count(!c.owners.exist()))*c.levels.trim[class])
 		}
 	}
 	for _, s := range c.owners.all {
@@ -679,71 +693,56 @@
 	return rates
 }
 
-// steer settles how much is let in, and tells whether a cut was found. When answers on the whole take so
-// long that a queue stands nearly everywhere, what was answered is what the fleet can do. That, less the
-// queue, is let in while it drains, then most of it without waiting for reports. Guards against bursts,
-// slowdowns, lost zones and repeats by clients; hurts where answers are slow for no reason of load.
+// steer settles how much is let in, and tells whether a cut was found. When answers take so long that a
+// queue stands nearly everywhere, what was answered is what the fleet can do: less the queue while it drains,
+// then most of it. Guards against bursts, slowdowns and losses; hurts where answers are slow for no load.
 func (c *Controller) steer(now int64) bool {
-	a := &c.levels
-	heat, came, let, proven, laid, heard := c.look(now)
-	a.heat = heat
-	if heat == 0 || heard == 0 || a.how == AdmitNone {
+	a, r := &c.levels, c.look(now)
+	a.heat = r.heat
+	if r.heat == 0 || r.heard == 0 || a.how == AdmitNone {
 		return false
 	}
-	was, cut, idle := a.bound, false, heat < incredible && c.idle(heat*a.expected)
+	was, cut, idle := a.bound, false, r.heat < incredible && c.idle(r.heat*a.expected)
 	lag := c.sight.ReportEvery + c.channel.LongestWay + second
 	switch {
 	case now < a.holdUntil:
-	case heat > hotAt && !idle:
+		if now >= a.drainedAt {
+			a.part = leastCut
+		}
+	case r.heat > hotAt && r.median > calmAt && !idle:
+		able := r.answered / r.heard
 		if a.able == 0 {
-			a.able = proven / heard
+			a.able = able
 		}
-		a.able = (a.able + proven/heard) / 2
-		a.able = min(a.able, jammed*proven/heard) // what was proven before a cut or a loss holds no more
+		a.able = min((a.able+able)/2, jammed*able) // what was proven before a cut or a loss holds no more
 		// The queue before a new exchange, in seconds of work, with what came while we did not know.
-		queue := (heat - restAt) * a.expected / float64(second)
-		queue += max(0, let/(a.able*laid)-1) * float64(lag) / float64(second)
+		queue := (r.heat - restAt) * a.expected / float64(second)
+		queue += max(0, r.let/(a.able*r.laid)-1) * float64(lag) / float64(second)
 		a.part = max(deepestCut, leastCut-queue*float64(second)/float64(drain))
 		a.drainedAt, a.holdUntil, cut = now+drain, now+drain+lag, true
-	case a.part > 0 && came <= a.limit:
-		a.able = max(a.able, proven/laid)
-	case a.part > 0 && (idle || heat < calmAt):
-		wider := a.part * (1 + 3*easeUp*float64(count(idle)))
-		a.part = max(a.part*(1+easeUp), min(wider, ahead*proven/(a.able*laid)))
-	case a.part > warmest:
-		a.part *= easeDown
-	}
-	a.limit = a.part * a.able * laid
-	if a.bound = a.part > 0 && came > a.limit; was != a.bound {
+	case a.part > 0 && r.came > a.limit && (idle || r.heat < calmAt):
+		fast := a.part * (1 + 3*easeUp*float64(count(idle || r.heat < (restAt+calmAt)/2)))
+		a.part = max(a.part*(1+easeUp), min(fast, ahead*r.answered/(a.able*r.laid)))
+	}
+	a.limit = a.part * a.able * r.laid
+	if a.bound = a.part > 0 && r.came > a.limit; was != a.bound {
 		c.logf("limit bound %v at %.1f units/s: heat %.2f, %.1f come, %.1f answered",
-			a.bound, a.limit, heat, came, proven)
+			a.bound, a.limit, r.heat, r.came, r.answered)
 	}
 	c.setLevels()
 	return cut
 }
 
-// drained ends a cut once the queue must be gone, though no report says so yet.
-func (c *Controller) drained(now int64) bool {
-	a := &c.levels
-	if a.drainedAt == 0 || now < a.drainedAt {
-		return false
-	}
-	a.limit *= leastCut / a.part
-	a.drainedAt, a.part = 0, leastCut
-	c.setLevels()
-	return true
-}
-
 // idle tells whether the backends say themselves that it is not they who are slow: proxies stand still, then.
 func (c *Controller) idle(mean float64) bool {
-	n, busy, waiting, service := 0., 0., 0., 0.
+	n, idle := 0, 0
 	for _, b := range c.backends {
 		if l := b.load; b.line > 0 && b.answered > c.lookedAt && l != (Load{}) {
-			n, busy, waiting, service = n+1, busy+l.Busy, waiting+l.Waiting, service+l.Service
+			light := l.Waiting >= 0 && l.Waiting < idleAt && l.Service < elsewhere*mean
+			n, idle = n+1, idle+count(light || l.Busy >= 0 && l.Busy < idleAt)
 		}
 	}
-	light := waiting >= 0 && waiting < idleAt*n && service < elsewhere*mean*n
-	return n > 0 && (light || busy >= 0 && busy < idleAt*n)
+	return 2*idle > n
 }
 
 // setLevels shares the limit out, importance first; capping the busiest proxies, repeats count for nothing.
@@ -752,10 +751,8 @@
 	left := a.limit
 	for _, class := range a.order {
 		a.want[class] = 0
-		rates, total := c.demand(class), 0.
-		for _, r := range rates {
-			total += r
-		}
+		rates := c.demand(class)
+		total := sum(rates)
 		part := min(total, max(left/a.units[class], leastLet*total))
 		left -= part * a.units[class]
 		if a.limit > 0 && part < total && a.how == AdmitRate {
