--- a/decide/decide.go
+++ b/decide/decide.go
@@ -5,8 +5,10 @@
 // the Host. Read New, then Elapsed, publish, judge and steer; docs/design.md says why things are so.
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
@@ -304,10 +306,7 @@
 
 // share is the part of its listed weight that a backend may carry now.
 func (c *Controller) share(b *backend, now int64) float64 {
-	part := 1.0
-	if b.strained > 0 {
-		part = b.strained
-	}
+	part := cmp.Or(b.strained, 1)
 	if b.enteredAt > 0 && now-b.enteredAt < entryFor {
 		part = min(part, entryShare)
 	}
@@ -316,9 +315,6 @@
 	if c.cold(b, now) {
 		sure := c.limits.ColdShare + (1-c.limits.ColdShare)*float64(now-b.Started)/float64(c.limits.WarmBy)
 		part = min(part, max(float64(int(sure*4))/4, c.limits.ColdShare))
-		if c.hot() && b.line > 0 { // no more for it while there is more than all can do
-			part = min(part, b.line/b.Weight)
-		}
 	}
 	return part
 }
@@ -341,28 +337,31 @@
 // or gone backend, easing off a cold one, filling an empty table. All else keeps the pace, or goes along.
 func (c *Controller) publish(now int64, ordinary bool) {
 	urgent, bare := false, c.laid(-1) == 0
+	must := func(b *backend, want float64) bool {
+		return want < b.line && (c.cold(b, now) || !c.usable(b, now)) || want > 0 && bare
+	}
 	for _, b := range c.backends {
-		want, usable := c.wanted(b, now), c.usable(b, now)
-		urgent = urgent || want < b.line && (c.cold(b, now) || !usable) || want > 0 && bare ||
-			b.out != (b.listed && !usable)
+		urgent = urgent || must(b, c.wanted(b, now)) || b.out != (b.listed && !c.usable(b, now))
 	}
 	if (ordinary || urgent) && c.channel.open(c.proxies, now, c.limits.Grace, urgent) {
-		laid, left, cost := false, 0, 0.
+		laid, left, cost, order := false, false, 0., slices.Clone(c.backends)
 		for _, p := range c.proxies {
 			cost += float64(count(p.bound))
 		}
-		for _, must := range []bool{true, false} {
-			for i, b := range c.backends {
+		// Where the channel is short, each line goes where it changes most.
+		gap := func(b *backend) float64 { return math.Abs(c.wanted(b, now) - b.line) }
+		slices.SortStableFunc(order, func(x, y *backend) int { return cmp.Compare(gap(y), gap(x)) })
+		for _, first := range []bool{true, false} {
+			for _, b := range order {
 				want := c.wanted(b, now)
-				rule := want < b.line && (c.cold(b, now) || !c.usable(b, now)) || want > 0 && bare
-				if want == b.line || rule != must {
+				if want == b.line || must(b, want) != first {
 					continue
 				}
-				if !c.channel.fits(cost, must) {
-					left++
+				if !c.channel.fits(cost, first) {
+					left = true
 					continue
 				}
-				c.setLine(i, want)
+				c.setLine(b, want)
 				laid, bare = true, bare && want == 0
 			}
 		}
@@ -374,7 +373,7 @@
 			}
 		}
 		if c.layLevels() || laid {
-			c.publishedAt = now * int64(count(left == 0)) // the rest goes as soon as there is room
+			c.publishedAt = now * int64(count(!left)) // the rest goes as soon as there is room
 		}
 	}
 	c.tendSlices(now)
@@ -389,14 +388,13 @@
 	return lines
 }
 
-func (c *Controller) setLine(id int, weight float64) {
-	b := c.backends[id]
+func (c *Controller) setLine(b *backend, weight float64) {
 	b.line = weight
 	if c.owners.exist() {
 		return // the owner of a slice is its table
 	}
 	c.tables(b.Zone, func(table int, _ uint16) {
-		c.host.SetLine(table, id, weight)
+		c.host.SetLine(table, b.Backend, weight)
 		c.billEach(1, func(p *proxy) bool { return p.bound && (table == 0 || p.zone == b.Zone) })
 	})
 }
@@ -589,12 +587,8 @@
 	return a
 }
 
-func (b *backend) carried() float64 { // strain moves load, but takes no capacity away
-	if b.strained > 0 {
-		return b.line / b.strained
-	}
-	return b.line
-}
+// carried leaves strain aside: it moves load, but takes no capacity away.
+func (b *backend) carried() float64 { return b.line / cmp.Or(b.strained, 1) }
 
 // reading is what the reports since the last look say.
 type reading struct {
@@ -885,7 +879,7 @@
 // the messages that a proxy may be written, and the last had to wait.
 func (l *ledger) open(proxies []*proxy, now, grace int64, urgent bool) bool {
 	gap := min((grace-l.LongestWay-beat)/2, l.MessagesSpan/int64(max(l.MessagesMost, 1)))
-	if l.lines > l.Backlog/2 && !urgent || l.lines > l.Backlog*3/4 {
+	if l.lines > l.Backlog/8 && !urgent || l.lines > l.Backlog*3/4 {
 		return false
 	}
 	return !slices.ContainsFunc(proxies, func(p *proxy) bool {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -232,6 +232,31 @@
 		}
 		s.weight(2, 2, "when warm")
 	})
+	t.Run("a fleet that grows while it is hot gets its new backends", func(t *testing.T) {
+		// Found in an incident at size: cold ones got no more while hot, so the fleet stayed small, and hot.
+		s := begin(t, usual(), 6, 3)
+		s.plays(4, jam(s))
+		var more []Entry
+		for b := range 12 {
+			more = append(more, Entry{Backend: 6 + b, Condition: Ready, Weight: 2, Started: s.now})
+		}
+		s.c.Listed(false, more)
+		s.plays(20, jam(s))
+		s.weight(17, 2, "when warm")
+	})
+	t.Run("where the channel is short, the widest changes go first", func(t *testing.T) {
+		x := usual()
+		x.channel.Backlog, x.channel.LinesPerS = 60, 60
+		s := begin(t, x, 4, 4)
+		s.plays(4, func() { s.fine() })
+		for b := range 12 {
+			s.c.Listed(false, []Entry{{Backend: 4 + b, Condition: Ready, Weight: 1 + float64(b), Zone: b % 2}})
+		}
+		s.plays(1, nil)
+		if n := len(s.tables[0]); s.tables[0][15] == 0 || s.tables[0][4] != 0 || n > 12 {
+			t.Errorf("first in the table: %v", s.tables[0])
+		}
+	})
 	t.Run("weights that are listed by load stay at the size", func(t *testing.T) {
 		x := usual()
 		x.sight.LiveWeights = true
@@ -332,14 +357,6 @@
 }
 
 func TestLevels(t *testing.T) {
-	jam := func(s *stage) func() {
-		return func() {
-			for b := range s.c.backends {
-				s.hears(b, 10, 1, 900_000)
-			}
-			s.comes(40, 20)
-		}
-	}
 	t.Run("importance goes first, nothing is tried again, and all comes back", func(t *testing.T) {
 		s := begin(t, usual(), 8, 3)
 		s.plays(5, func() { s.fine() })
--- a/decide/fake_test.go
+++ b/decide/fake_test.go
@@ -173,3 +173,13 @@
 		s.Errorf("%s: backend %d has weight %.3f, want %.3f", when, b, got, want)
 	}
 }
+
+// jam reports late answers everywhere, and more demand than before.
+func jam(s *stage) func() {
+	return func() {
+		for b := range s.c.backends {
+			s.hears(b, 10, 1, 900_000)
+		}
+		s.comes(40, 20)
+	}
+}
