--- a/decide/decide.go
+++ b/decide/decide.go
@@ -373,7 +373,8 @@
 			}
 		}
 		for i, b := range c.backends { // proxies that still hold tables of others stay off these as well
-			if out := c.mustLeave(b); out != b.out && c.channel.fits(strange, true) {
+			// Once their line is gone, as long as it stands a withdrawal costs one to each bound proxy too.
+			if out := c.mustLeave(b) && b.line == 0; out != b.out && c.channel.fits(strange, true) {
 				b.out = out
 				c.host.Withdraw(i, out)
 				c.billEach(1, func(p *proxy) bool { return !p.bound || c.owners.exist() })
@@ -712,7 +713,7 @@
 			a.part = leastCut
 		}
 	case r.heat > hotAt && r.median > calmAt && !idle:
-		able := r.answered / r.heard
+		able := min(r.answered/r.heard, ahead*r.let/r.laid) // as a queue stands, hardly more than was let in
 		if a.able == 0 {
 			a.able = able
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -451,6 +451,20 @@
 			t.Errorf("level %.1f after the cut, %.1f long after", low, l)
 		}
 	})
+	t.Run("counts that add up while lines wait their turn are no throughput", func(t *testing.T) {
+		// Found by a hunt at size: four periods in one line made the fleet seem able to do twice what it was.
+		s, turn := begin(t, usual(), 12, 3), 0
+		s.plays(8, func() {
+			turn++
+			for b := range 3 {
+				s.hears((3*turn+b)%12, 60, 20, 1200_000)
+			}
+			s.comes(40, 20)
+		})
+		if l := s.levels["65535 1"]; l == 0 || l >= 40 {
+			t.Errorf("levels %v in a jam that is heard of in turns", s.levels)
+		}
+	})
 	t.Run("a standing limit meets the next wave before a queue forms", func(t *testing.T) {
 		s := begin(t, usual(), 8, 3)
 		s.plays(3, jam(s))
