--- a/decide/decide.go
+++ b/decide/decide.go
@@ -630,7 +630,7 @@
 		means = append(means, mean)
 		tries, took = tries+answered, took+late
 		// One that lags far behind the median says how slow things are, but not what a weight can do.
-		if b.score < strainAt {
+		if b.line > 0 && b.score < strainAt {
 			answers, r.heard = answers+answered, r.heard+b.carried()*ours
 		}
 		// Failures of a backend that answers late are time-outs in its queue, and say how long that is.
