One that lags even with the least weight leaves R

A backend that lags twice the median with the least weight that strain leaves now leaves R, as the paper's node too loaded to be published, and comes back as any other. Guards against ageing and half-dead machines; hurts if answers of one kind are slow by nature, for ten seconds at a time.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -452,17 +452,17 @@
 		if b.score = 1; b.mean > 0 && median > 0 {
 			b.score = b.mean / median
 		}
+		lags := b.mean >= hotAt*c.levels.expected && b.score >= strainAt && b.tries >= triesToJudge/2
 		switch {
 		// Silence counts only with tries: without them it is we who do not know. Where the others answer few
 		// tries, it takes as many more. Answers from before do not help one whose last tries all failed.
-		case float64(b.unheard)*usual > provenSilent*wellAnswered:
+		case float64(b.unheard)*usual > provenSilent*wellAnswered,
+			lags && b.strained > 0 && b.strained <= entryShare: // it can do nothing even with the least weight
 			away = c.leave(i, now, away, mostAway*listed)
 		// One that answers, but late, has a queue: it carries too much, which is no reason to send all of
-		// it to the next. Only if others fare far better does it lose part of its weight.
-		case b.mean >= hotAt*c.levels.expected:
-			if b.score >= strainAt && b.tries >= triesToJudge/2 {
-				c.strain(i, now)
-			}
+		// it to the next. If others fare far better it loses part of its weight.
+		case lags:
+			c.strain(i, now)
 		// Against the median, and only while that is good: what all share condemns nobody.
 		case b.tries >= triesToJudge && usual >= wellAnswered && b.answers() < usual/2:
 			away = c.leave(i, now, away, mostAway*listed)
