--- a/decide/decide.go
+++ b/decide/decide.go
@@ -706,6 +706,7 @@
 		return false
 	}
 	was, cut, idle := a.bound, false, r.heat < incredible && c.idle(r.heat*a.expected)
+	rests := r.median < (restAt+calmAt)/2 // most have no queue, whatever a few have
 	lag := c.sight.ReportEvery + c.channel.LongestWay + second
 	switch {
 	case now < a.holdUntil:
@@ -723,8 +724,8 @@
 		queue += max(0, r.let/(a.able*r.laid)-1) * float64(lag) / float64(second)
 		a.part = max(deepestCut, leastCut-queue*float64(second)/float64(drain))
 		a.drainedAt, a.holdUntil, cut = now+drain, now+drain+lag, true
-	case a.part > 0 && r.came > a.limit && (idle || r.heat < calmAt):
-		fast := a.part * (1 + 3*easeUp*float64(count(idle || r.heat < (restAt+calmAt)/2)))
+	case a.part > 0 && r.came > a.limit && (idle || rests || r.heat < calmAt):
+		fast := a.part * (1 + 3*easeUp*float64(count(idle || rests)))
 		a.part = max(a.part*(1+easeUp), min(fast, ahead*r.answered/(a.able*r.laid)))
 	}
 	a.limit = a.part * a.able * r.laid
