--- a/decide/decide.go
+++ b/decide/decide.go
@@ -883,10 +883,10 @@
 	return len(p.sent) < l.MessagesMost/2 || urgent && len(p.sent) < l.MessagesMost
 }
 
-// open tells whether changes may go to all bound proxies now. Needed ones that come one by one, as when a zone
-// drops from the list, wait for each other as long as the grace bears it twice: sent singly they used up the
-// messages that a proxy may be written, and the last had to wait. What does not fit as one piece waits for an
-// emptier channel, which stays busy meanwhile: small pieces would be headers. Binds hold up nothing.
+// open tells whether changes may go to all bound proxies now. Needed ones that come one by one, as when a
+// zone drops from the list, wait for each other as long as the grace bears it twice: sent singly they used up
+// the messages that a proxy may be written. What does not fit as one piece waits for an emptier channel,
+// which stays busy meanwhile: small pieces would be mostly headers. Binds hold up nothing.
 func (l *ledger) open(proxies []*proxy, now, since, grace int64, need float64) bool {
 	gap := min((grace-l.LongestWay-beat)/2, l.MessagesSpan/int64(max(l.MessagesMost, 1)))
 	if l.MessagesMost > 0 && since > 0 && since < gap ||
--- a/decide/fake_test.go
+++ b/decide/fake_test.go
@@ -149,6 +149,15 @@
 	s.c.Heard(b, tries, failed, mean, Load{Busy: -1, Waiting: -1, Service: -1})
 }
 
+// lists tells of backends from one number to another, in one go.
+func (s *stage) lists(from, to int, condition Condition, started int64) {
+	var all []Entry
+	for b := from; b < to; b++ {
+		all = append(all, Entry{Backend: b, Condition: condition, Weight: 2, Zone: b % 2, Started: started})
+	}
+	s.c.Listed(false, all)
+}
+
 // fine reports good answers of all backends but the given ones, and the usual demand at each proxy.
 func (s *stage) fine(except ...int) {
 	for b := range s.c.backends {
