One that says itself that it is idle is not strained

A backend that reports free cores, or nothing waiting and a short service, keeps its weight. Also guards against slow proxies and ways; hurts where reports are old.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -320,15 +320,14 @@
 	return part
 }
 
-func (c *Controller) hot() bool { return c.levels.bound || c.levels.heat > hotAt }
-
 func (c *Controller) cold(b *backend, now int64) bool {
 	return b.Started > 0 && b.Started <= now && now-b.Started < c.limits.WarmBy
 }
 
 func (c *Controller) wanted(b *backend, now int64) float64 {
 	// Where proxies heed no levels, nothing but its absence keeps an overload from a cold backend.
-	if !c.usable(b, now) || b.away && !c.fallback || c.levels.how == AdmitNone && c.hot() && c.cold(b, now) {
+	out := c.levels.how == AdmitNone && c.levels.heat > hotAt && c.cold(b, now)
+	if !c.usable(b, now) || b.away && !c.fallback || out {
 		return 0
 	}
 	return b.Weight * c.share(b, now)
@@ -341,12 +340,11 @@
 	must := func(b *backend, want float64) bool {
 		return want < b.line && (c.cold(b, now) || c.mustLeave(b)) || want > 0 && bare
 	}
-	cost, strange, header := 0., 0., c.channel.Head+1+float64(len(c.classes))
+	cost, strange, need, header := 0., 0., 0., c.channel.Head+1+float64(len(c.classes)) // need: by a rule, now
 	for _, p := range c.proxies {
 		cost += float64(count(p.bound))
 		strange += float64(count(p.joined && (!p.bound || c.owners.exist())))
 	}
-	need := 0. // lines that a rule needs now
 	for _, b := range c.backends {
 		if must(b, c.wanted(b, now)) || b.out != c.mustLeave(b) {
 			need = max(need, cost*header) + max(cost, strange, 1)
@@ -451,7 +449,8 @@
 		if b.score = 1; b.mean > 0 && median > 0 {
 			b.score = b.mean / median
 		}
-		lags := b.mean >= hotAt*c.levels.expected && b.score >= strainAt && b.tries >= triesToJudge/2
+		lags := b.mean >= hotAt*c.levels.expected && b.score >= strainAt && b.tries >= triesToJudge/2 &&
+			!b.load.idle(b.mean)
 		switch {
 		// Silence counts only with tries: without them it is we who do not know. Where the others answer few
 		// tries, it takes as many more. Answers from before do not help one whose last tries all failed.
@@ -610,7 +609,7 @@
 func (c *Controller) look(now int64) (r reading) {
 	a := &c.levels
 	var means []float64
-	tries, answers, took, ours := 0, 0, 0., 0.
+	tries, answers, took, ours, exchanges := 0, 0, 0., 0., 0.
 	for _, p := range c.proxies {
 		ours += p.usual
 	}
@@ -632,15 +631,13 @@
 		if b.line > 0 && b.score < strainAt {
 			answers, r.heard = answers+answered, r.heard+b.carried()*ours
 		}
-		// Failures of a backend that answers late are time-outs in its queue, and say how long that is.
-		// Others, errors and lost answers, are work done.
+		// Failures of one that answers late are time-outs in its queue; others, like lost answers, are work.
 		if mean > calmAt*a.expected {
 			tries, took = tries+failed, took+float64(failed)*a.outer/2
 		} else {
 			answers += failed
 		}
 	}
-	exchanges := 0.
 	for class := range c.classes {
 		rates := c.demand(class)
 		a.trimTo(class, rates, float64(now-c.lookedAt)/float64(second))
@@ -740,14 +737,18 @@
 func (c *Controller) idle(mean float64) bool {
 	n, idle := 0, 0
 	for _, b := range c.backends {
-		if l := b.load; b.line > 0 && b.answered > c.lookedAt && l != (Load{}) {
-			light := l.Waiting >= 0 && l.Waiting < idleAt && l.Service < elsewhere*mean
-			n, idle = n+1, idle+count(light || l.Busy >= 0 && l.Busy < idleAt)
+		if b.line > 0 && b.answered > c.lookedAt && b.load != (Load{}) {
+			n, idle = n+1, idle+count(b.load.idle(mean))
 		}
 	}
 	return 2*idle > n
 }
 
+func (l Load) idle(mean float64) bool {
+	light := l.Waiting >= 0 && l.Waiting < idleAt && l.Service < elsewhere*mean
+	return l != (Load{}) && (light || l.Busy >= 0 && l.Busy < idleAt)
+}
+
 // setLevels shares the limit out, importance first; capping the busiest proxies, repeats count for nothing.
 func (c *Controller) setLevels() {
 	a := &c.levels
@@ -883,10 +884,9 @@
 	return len(p.sent) < l.MessagesMost/2 || urgent && len(p.sent) < l.MessagesMost
 }
 
-// open tells whether changes may go to all bound proxies now. Needed ones that come one by one, as when a
-// zone drops from the list, wait for each other as long as the grace bears it twice: sent singly they used up
-// the messages that a proxy may be written. What does not fit as one piece waits for an emptier channel,
-// which stays busy meanwhile: small pieces would be mostly headers. Binds hold up nothing.
+// open tells whether changes may go to all bound proxies now. Needed ones wait for each other as long as the
+// grace bears it twice: singly they would use up the messages that a proxy may be written. What does not fit
+// as one piece waits for an emptier channel, which is busy meanwhile: small pieces would be mostly headers.
 func (l *ledger) open(proxies []*proxy, now, since, grace int64, need float64) bool {
 	gap := min((grace-l.LongestWay-beat)/2, l.MessagesSpan/int64(max(l.MessagesMost, 1)))
 	if l.MessagesMost > 0 && since > 0 && since < gap ||
