Silence, like failures, condemns nobody while most answer few of their tries

Five silent tries prove a death while the median backend answers 0.8 of its tries; else it is shared. Folds the scaling of silence by what others answer into the one guard. Guards against jams, lost answers, stalls of ours; hurts where machines die in a jam: they stay until the list says so, proxies keeping off them by themselves.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -452,9 +452,9 @@
 		lags := b.mean >= hotAt*c.levels.expected && b.score >= strainAt && b.tries >= triesToJudge/2 &&
 			!b.load.idle(b.mean)
 		switch {
-		// Silence counts only with tries: without them it is we who do not know. Where the others answer few
-		// tries, it takes as many more. Answers from before do not help one whose last tries all failed.
-		case float64(b.unheard)*usual > provenSilent*wellAnswered,
+		// Silence counts only with tries: without them it is we who do not know. Where most answer few tries
+		// it is shared, and condemns nobody. Answers from before do not help one whose last tries all failed.
+		case usual >= wellAnswered && b.unheard >= provenSilent,
 			lags && b.strained > 0 && b.strained <= entryShare: // it can do nothing even with the least weight
 			away = c.leave(i, now, away, mostAway*listed)
 		// One that answers, but late, has a queue: it carries too much, which is no reason to send all of
