What answers nothing is taken off what a queue is reckoned against

Tries without any answer in a look now lower what the queue is set against; no tries are ignorance, as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -350,7 +350,7 @@
 			need = max(need, cost*header) + max(cost, strange, 1)
 		}
 	}
-	if (ordinary || need > 0) && c.channel.open(c.proxies, now, now-c.laidAt, c.limits.Grace, need) {
+	if (ordinary || need > 0) && c.channel.open(c.proxies, now, c.laidAt, c.limits.Grace, need) {
 		laid, left, order := false, false, slices.Clone(c.backends)
 		// Where the channel is short, each line goes where it changes most.
 		gap := func(b *backend) float64 { return math.Abs(c.wanted(b, now) - b.line) }
@@ -378,7 +378,6 @@
 			}
 		}
 		if c.layLevels() || laid {
-			c.laidAt = now
 			c.publishedAt = now * int64(count(!left)) // the rest goes as soon as there is room
 		}
 	}
@@ -594,16 +593,15 @@
 	return a
 }
 
-// carried leaves strain aside: it moves load, but takes no capacity away.
-func (b *backend) carried() float64 { return b.line / cmp.Or(b.strained, 1) }
+func (b *backend) carried() float64 { return b.line / cmp.Or(b.strained, 1) } // strain takes no capacity away
 
 // reading is what the reports since the last look say.
 type reading struct {
 	heat, median        float64 // of all answers, and that of the median backend
 	came, let, answered float64 // units a second, at all, past the levels, and by backends that keep up
-	// Listed weight behind our lines, and behind those that keep up, both times the ordinary traffic of our
-	// proxies: when those of another controller come to us, so does its share.
-	laid, heard float64
+	// Listed weight behind our lines, those that keep up and those that answer nothing, times the ordinary
+	// traffic of our proxies: when those of another controller come to us, so does its share.
+	laid, heard, dead float64
 }
 
 func (c *Controller) look(now int64) (r reading) {
@@ -622,6 +620,7 @@
 			}
 		}
 		if answered == 0 {
+			r.dead += b.carried() * ours * float64(count(failed > 0))
 			continue
 		}
 		mean := late / float64(answered)
@@ -717,7 +716,7 @@
 		a.able = min((a.able+able)/2, jammed*able) // what was proven before a cut or a loss holds no more
 		// The queue before a new exchange, in seconds of work, with what came while we did not know.
 		queue := (r.heat - restAt) * a.expected / float64(second)
-		queue += max(0, r.let/(a.able*r.laid)-1) * float64(lag) / float64(second)
+		queue += max(0, r.let/(a.able*(r.laid-r.dead))-1) * float64(lag) / float64(second)
 		a.part = max(deepestCut, leastCut-queue*float64(second)/float64(drain))
 		a.drainedAt, a.holdUntil, cut = now+drain, now+drain+lag, true
 	case a.part > 0 && r.came > a.limit && (idle || rests || r.heat < calmAt):
@@ -830,6 +829,7 @@
 }
 
 func (c *Controller) billEach(lines float64, concerned func(p *proxy) bool) {
+	c.laidAt = c.host.Now()
 	for _, p := range c.proxies {
 		if p.joined && concerned(p) {
 			c.bill(p, lines)
@@ -887,9 +887,9 @@
 // open tells whether changes may go to all bound proxies now. Needed ones wait for each other as long as the
 // grace bears it twice: singly they would use up the messages that a proxy may be written. What does not fit
 // as one piece waits for an emptier channel, which is busy meanwhile: small pieces would be mostly headers.
-func (l *ledger) open(proxies []*proxy, now, since, grace int64, need float64) bool {
+func (l *ledger) open(proxies []*proxy, now, last, grace int64, need float64) bool {
 	gap := min((grace-l.LongestWay-beat)/2, l.MessagesSpan/int64(max(l.MessagesMost, 1)))
-	if l.MessagesMost > 0 && since > 0 && since < gap ||
+	if l.MessagesMost > 0 && now > last && now-last < gap ||
 		l.lines > l.Backlog/8 && (need == 0 || l.lines+need > l.Backlog) {
 		return false
 	}
@@ -961,7 +961,7 @@
 		if to < 0 && s.held < 0 {
 			to = from
 		}
-		if s.held > 0 || to < 0 || !c.channel.open(c.proxies, now, now-c.laidAt, c.limits.Grace, 1) {
+		if s.held > 0 || to < 0 || !c.channel.open(c.proxies, now, c.laidAt, c.limits.Grace, c.channel.Backlog/4) {
 			continue
 		}
 		if s.owner = to; o.SingleOwner && (from >= 0 || s.held < 0) {
