Binds leave the room to what a rule needs

What had to go did not fit beside 351 lines of binds on their way, new binds kept it so for 1.6 s, and one proxy sent 3.14 s after the drop, 3 s allowed. While what a rule needs waits for room nobody is bound.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -66,8 +66,8 @@
 
 	publishedAt, laidAt, lookedAt, askAt, askWait int64
 
-	tries                int // heard of since the last look
-	listedOnce, fallback bool
+	tries                         int // heard of since the last look
+	listedOnce, fallback, pressed bool
 }
 
 // backend is all that is known of one backend.
@@ -263,8 +263,7 @@
 
 // smooth weighs a count with its span, as a proxy that gets little has no line in most periods.
 func (c *Controller) smooth(rate *float64, count int, span int64) {
-	memory := float64(c.sight.ReportEvery)
-	*rate = (*rate*memory + float64(count)*float64(second)) / (memory + float64(span))
+	*rate += (float64(count)*float64(second) - *rate*float64(span)) / float64(c.sight.ReportEvery+span)
 }
 
 // Joined: the proxy holds stale tables until it is bound, so it is bound as soon as the channel has room.
@@ -350,6 +349,7 @@
 			need = max(need, cost*header) + max(cost, strange, 1)
 		}
 	}
+	c.pressed = need > 0 && c.channel.lines+need > c.channel.Backlog // binds leave the room to it
 	if (ordinary || need > 0) && c.channel.open(c.proxies, now, c.laidAt, c.limits.Grace, need) {
 		laid, left, order := false, false, slices.Clone(c.backends)
 		// Where the channel is short, each line goes where it changes most.
@@ -407,7 +407,7 @@
 // bindWaiting gives whole tables to proxies that hold those of others, while the channel has room.
 func (c *Controller) bindWaiting(now int64) {
 	for i, p := range c.proxies {
-		if !p.joined || p.bound {
+		if !p.joined || p.bound || c.pressed {
 			continue
 		}
 		cost, bare := c.channel.Head+1+float64(len(c.classes)), false
--- a/decide/fake_test.go
+++ b/decide/fake_test.go
@@ -68,7 +68,6 @@
 	s.script = append(s.script, fmt.Sprint(s.now, " ")+fmt.Sprintf(format, args...))
 }
 
-// twoClasses are one that may repeat and one that matters more and may not.
 func twoClasses() []Class {
 	return []Class{
 		{Expected: 1500_000, Outer: 4 * second, Importance: 1},
@@ -183,7 +182,6 @@
 	}
 }
 
-// jam reports late answers everywhere, and more demand than before.
 func jam(s *stage) func() {
 	return func() {
 		for b := range s.c.backends {
