--- /dev/null
+++ b/controller/frame.go
@@ -0,0 +1,44 @@
+package controller
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+)
+
+// headSize is the length that stands before each message, most significant byte first.
+const headSize = 4
+
+// readFrame reads one message into a buffer. io.EOF means that the stream ended between messages. The buffer grows
+// with what arrives, so that a length that is only claimed costs no memory.
+func readFrame(r io.Reader, body *bytes.Buffer, most int) error {
+	var head [headSize]byte
+	if n, err := io.ReadFull(r, head[:]); err != nil {
+		if n > 0 {
+			return fmt.Errorf("cut off after %d bytes of a length: %w", n, err)
+		}
+		return err
+	}
+	size := int64(binary.BigEndian.Uint32(head[:]))
+	if size == 0 || size > int64(most) {
+		return fmt.Errorf("a message of %d bytes, %d at most: %w", size, most, errUnreadable)
+	}
+	body.Reset()
+	if n, err := io.CopyN(body, r, size); err != nil {
+		return fmt.Errorf("cut off after %d of %d bytes: %w", n, size, err)
+	}
+	return nil
+}
+
+// closeFrame writes the length of the message that begins at from, where its head was left open.
+func closeFrame(b []byte, from int) {
+	binary.BigEndian.PutUint32(b[from:], uint32(len(b)-from-headSize))
+}
+
+// alive is the answer to a probe.
+var alive = func() []byte {
+	b := append(make([]byte, headSize), `{"msg":"alive"}`...)
+	closeFrame(b, 0)
+	return b
+}()
--- /dev/null
+++ b/controller/limits.go
@@ -0,0 +1,66 @@
+package controller
+
+import (
+	"time"
+
+	"wheelrill/decide"
+)
+
+// limits are the sizes, counts and times of everything around the decisions. They are filled once, at start, and
+// each part is handed what it needs of them.
+type limits struct {
+	cores    int
+	memory   int64 // bytes the process may use; 0 if nobody said
+	sockets  int   // descriptors the process may hold
+	nodes    int   // proxies that exist
+	perZone  int   // collectors of a zone that are kept; the oldest goes
+	strange  int   // connections that have not said who they are; the oldest goes
+	lasting  int   // connections that have
+	backends int   // different backends that a list may name in a life
+	id       int   // bytes of a backend's id
+
+	frame      int // bytes of one message, at most, either way
+	firstFrame int // the same while a connection has not said who it is
+	parts      int // parts of one message to a proxy
+	keptBuffer int // a reader's buffer that grew beyond this is given back
+	mailbox    int // things that wait for the module; reports beyond this are given up
+	turn       int // things that the module takes at one clock time
+	outgoing   int // messages that wait for one peer
+	body       int // bytes of an answer of discovery
+
+	tick       time.Duration // between two clock times of the module
+	first      time.Duration // for a connection to say something whole
+	probing    time.Duration // for one that has only ever probed to do so again
+	write      time.Duration // for one message to leave
+	dial       time.Duration // for a connection to discovery to come up
+	watch      time.Duration // that discovery may wait for something new
+	watchOver  time.Duration // beyond that before the call has failed
+	retryLeast time.Duration // pause after a failed call, doubling ...
+	retryMost  time.Duration // ... up to this
+	older      int           // answers older than what we know before we take discovery at its word
+	silence    int64         // µs without a word, a mark unanswered as long, show a half-open stream
+	quiet      time.Duration // a line of the log that repeats is held back for so long
+	end        time.Duration // for everything to stop
+}
+
+// newLimits reckons the limits from what the process is given and from the settings that size the traffic.
+func newLimits(cores float64, memoryMB, sockets, nodes, zones int, tick int64, channel decide.Channel,
+	sight decide.Sight) limits {
+	const spare = 24 // descriptors of the runtime, the standard streams, the listener and discovery
+	l := limits{
+		cores: max(1, int(cores)), memory: int64(memoryMB) << 20, sockets: sockets, nodes: nodes,
+		perZone: 2, backends: 1 << 16, id: 256,
+		frame: 1 << 20, firstFrame: 16 << 10, parts: 64, keptBuffer: 64 << 10,
+		mailbox: 4096, turn: 1024, outgoing: 64, body: 16 << 20,
+		tick:  max(time.Duration(tick)*time.Microsecond, time.Millisecond),
+		first: 5 * time.Second, probing: time.Minute, write: 10 * time.Second,
+		dial: 500 * time.Millisecond, watch: 2 * time.Second, watchOver: time.Second,
+		retryLeast: 50 * time.Millisecond, retryMost: time.Second, older: 5,
+		silence: 2*channel.LongestWay + 3*sight.ReportEvery + time.Second.Microseconds(),
+		quiet:   10 * time.Second, end: 300 * time.Millisecond,
+	}
+	// Proxies twice over, as a new stream may come before the old one is seen to end.
+	l.lasting = min(2*nodes+(l.perZone+1)*zones, max(sockets-spare-8, 1))
+	l.strange = max(4, min(256, sockets-spare-l.lasting))
+	return l
+}
--- /dev/null
+++ b/controller/module.go
@@ -0,0 +1,295 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"wheelrill/decide"
+	"wheelrill/internal/start"
+)
+
+// module is the actor around the decisions: it hands them what happens, one thing after the other, and is their Host.
+// All that it takes at once happens at one clock time, after which each proxy concerned is written one message.
+type module struct {
+	*tables
+	limits  *limits
+	log     *journal
+	control *decide.Controller
+
+	zones, classes map[string]int
+	zoneNames      []string
+	backends       map[string]int
+	names          [][]byte // ids of backends as they go onto streams
+	joins          []*join  // by proxy; nil if it is not joined
+
+	mail    chan func()
+	done    chan struct{}
+	ready   chan struct{} // closed once the decisions know a backend
+	started time.Time     // Unix time at the start, with the monotonic clock
+	now     int64
+	timers  []timer
+}
+
+// join is a proxy's stream, and since when a mark on it is unanswered.
+type join struct {
+	peer    *peer
+	waiting []mark
+}
+
+type mark struct {
+	number int
+	at     int64
+}
+
+type timer struct {
+	at  int64
+	tag uint64
+}
+
+// clock is Unix time in µs as it was at the start, gone on with the monotonic clock.
+func (m *module) clock() int64 { return m.started.UnixMicro() + time.Since(m.started).Microseconds() }
+
+// post gives the module something that must not be lost; it waits while the mailbox is full.
+func (m *module) post(what func()) {
+	select {
+	case m.mail <- what:
+	case <-m.done:
+	}
+}
+
+// report gives the module something that may be lost: with a full mailbox the newest is given up, as the reader has
+// to go on reading, and what is older would say less.
+func (m *module) report(what func()) {
+	select {
+	case m.mail <- what:
+	default:
+		m.log.seldom("reports", "event=report_dropped mailbox=%d", m.limits.mailbox)
+	}
+}
+
+func (m *module) run(ctx context.Context) {
+	defer close(m.done)
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	for {
+		next := m.limits.quiet
+		if len(m.timers) > 0 {
+			next = time.Duration(m.timers[0].at-m.clock()) * time.Microsecond
+		}
+		wake.Reset(max(next, 0))
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake.C:
+			m.turn(func() {})
+		case what := <-m.mail:
+			if early := m.now + m.limits.tick.Microseconds() - m.clock(); early > 0 {
+				wake.Reset(time.Duration(early) * time.Microsecond)
+				select {
+				case <-ctx.Done():
+					return
+				case <-wake.C:
+				}
+			}
+			m.turn(what)
+		}
+	}
+}
+
+// turn takes what has come in, and the timers that are due, at one clock time.
+func (m *module) turn(first func()) {
+	m.now = max(m.clock(), m.now+1)
+	first()
+	for taken := 1; taken < m.limits.turn; taken++ {
+		select {
+		case what := <-m.mail:
+			what()
+			continue
+		default:
+		}
+		break
+	}
+	for len(m.timers) > 0 && m.timers[0].at <= m.now {
+		due := m.timers[0]
+		m.timers = m.timers[1:]
+		m.control.Elapsed(due.tag)
+	}
+	m.findSilent()
+	m.flush(func(proxy int, err error) { m.lose(proxy, err) }, func(proxy, number, _ int) {
+		j := m.joins[proxy]
+		j.waiting = append(j.waiting, mark{number, m.now})
+	})
+}
+
+// Now is the clock time of this turn.
+func (m *module) Now() int64 { return m.now }
+
+// After has Elapsed called after a while.
+func (m *module) After(wait int64, tag uint64) {
+	t := timer{m.now + max(wait, 1), tag}
+	at, _ := slices.BinarySearchFunc(m.timers, t, func(a, b timer) int {
+		if a.at > b.at {
+			return 1
+		}
+		return -1
+	})
+	m.timers = slices.Insert(m.timers, at, t)
+}
+
+// Log writes a change of mode.
+func (m *module) Log(line string) { m.log.say("event=decision text=%q", line) }
+
+// Watch has nothing to do: the list is followed all the time, as asking costs discovery nothing here.
+func (m *module) Watch() {}
+
+// Probe is not called: on sockets no page says how backends are probed, so the decisions are told they may not.
+func (m *module) Probe(int) {}
+
+func (m *module) zoneName(zone int) string {
+	if zone < 0 || zone >= len(m.zoneNames) {
+		return ""
+	}
+	return m.zoneNames[zone]
+}
+
+// listed takes in the list, whole or what changed.
+func (m *module) listed(whole bool, version int64, servers []*fastjson.Value) {
+	entries := make([]decide.Entry, 0, len(servers))
+	for _, server := range servers {
+		if e, ok := m.entry(server); ok {
+			entries = append(entries, e)
+		}
+	}
+	m.log.say("event=list version=%d whole=%v entries=%d", version, whole, len(entries))
+	m.control.Listed(whole, entries)
+	if len(m.names) > 0 {
+		select {
+		case <-m.ready:
+		default:
+			close(m.ready)
+			m.log.say("event=ready backends=%d", len(m.names))
+		}
+	}
+}
+
+func (m *module) entry(server *fastjson.Value) (e decide.Entry, ok bool) {
+	id := server.GetStringBytes("id")
+	zone, there := m.zones[string(server.GetStringBytes("zone"))]
+	if len(id) == 0 || len(id) > m.limits.id || !there {
+		m.log.seldom("entry", "event=entry_skipped id=%q why=%q", id[:min(len(id), m.limits.id)], "no usable id or zone")
+		return e, false
+	}
+	condition := decide.Draining // the careful reading of a word that we do not know
+	switch state := string(server.GetStringBytes("state")); state {
+	case "up":
+		condition = decide.Ready
+	case "draining":
+	case "removed":
+		condition = decide.Gone
+	default:
+		m.log.seldom("state", "event=entry_state id=%s state=%q taken=draining", id, state)
+	}
+	backend, known := m.backends[string(id)]
+	if !known && len(m.names) >= m.limits.backends {
+		m.log.seldom("backends", "event=entry_skipped id=%s why=%q", id, "too many backends")
+		return e, false
+	}
+	if !known {
+		backend = len(m.names)
+		m.backends[string(id)] = backend
+		m.names = append(m.names, server.Get("id").MarshalTo(nil))
+		m.log.say("event=backend index=%d id=%s zone=%s", backend, id, m.zoneNames[zone])
+	}
+	weight, _ := figureAt(server, "weight")
+	began, _ := figureAt(server, "started_ms")
+	return decide.Entry{Backend: backend, Condition: condition, Started: start.Micros(began), Weight: weight,
+		Zone: zone}, true
+}
+
+// joined takes a proxy's stream. A newer one replaces the old, whose end then says nothing.
+func (m *module) joined(p *peer, usual float64, keeps bool) {
+	for len(m.joins) <= p.node {
+		m.joins = append(m.joins, nil)
+	}
+	if old := m.joins[p.node]; old != nil {
+		m.leaves(p.node)
+		old.peer.end(errReplaced)
+	}
+	m.log.say("event=joined node=%d zone=%s usual=%.1f keeps=%v peer=%s", p.node, m.zoneName(p.zone), usual, keeps,
+		p.conn.RemoteAddr())
+	m.joins[p.node] = &join{peer: p}
+	m.join(p.node, p, keeps)
+	m.control.Joined(p.node, p.zone, usual, keeps)
+}
+
+func (m *module) current(p *peer) bool {
+	return p.node < len(m.joins) && m.joins[p.node] != nil && m.joins[p.node].peer == p
+}
+
+// left takes the end of a stream, unless another has replaced it.
+func (m *module) left(p *peer) {
+	if m.current(p) {
+		m.log.say("event=left node=%d why=%q", p.node, p.why)
+		m.leaves(p.node)
+	}
+}
+
+// lose ends the stream of a proxy that cannot be reached.
+func (m *module) lose(node int, err error) {
+	if p := m.joins[node].peer; err != errEnded {
+		m.log.say("event=lost node=%d why=%q", node, err)
+		p.end(err)
+	}
+	m.leaves(node)
+}
+
+func (m *module) leaves(node int) {
+	m.joins[node] = nil
+	m.leave(node)
+	m.control.Left(node)
+}
+
+// findSilent ends streams that are half-open. They say nothing and cannot be told from quiet ones but by marks that
+// stay unanswered, so both are asked for.
+func (m *module) findSilent() {
+	for node, j := range m.joins {
+		if j != nil && len(j.waiting) > 0 && m.now-j.waiting[0].at > m.limits.silence &&
+			m.now-j.peer.heard.Load() > m.limits.silence {
+			m.lose(node, errSilent)
+		}
+	}
+}
+
+// applied takes a mark that came back. From a stream that has been replaced it says nothing.
+func (m *module) applied(p *peer, number int) {
+	if !m.current(p) {
+		return
+	}
+	j := m.joins[p.node]
+	at := slices.IndexFunc(j.waiting, func(w mark) bool { return w.number == number })
+	if at < 0 {
+		m.log.seldom("mark", "event=mark_unknown node=%d mark=%d", p.node, number)
+		return
+	}
+	j.waiting = slices.Delete(j.waiting, 0, at+1)
+	m.control.Applied(p.node, number)
+}
+
+func (m *module) met(id string, tries, failed int, mean int64, load decide.Load) {
+	backend, ok := m.backends[id]
+	if !ok {
+		m.log.seldom("unlisted", "event=report_unlisted id=%q", id[:min(len(id), m.limits.id)])
+		return
+	}
+	m.control.Heard(backend, tries, failed, mean, load)
+}
+
+func (m *module) came(node, class, count int, span int64) {
+	if node < len(m.joins) && m.joins[node] != nil {
+		m.joins[node].peer.heard.Store(m.now)
+		m.control.Came(node, class, count, span)
+	}
+}
--- /dev/null
+++ b/controller/tables.go
@@ -0,0 +1,334 @@
+package controller
+
+import (
+	"slices"
+
+	"wheelrill/decide"
+)
+
+// tables knows the tables, levels and withdrawals that the decisions have ordered, and what was last written on each
+// proxy's stream. It turns the orders of one clock time into one message for each proxy concerned.
+type tables struct {
+	classes [][]byte // names as they are written
+	name    func(backend int) []byte
+	frame   int
+	parts   int
+
+	laid    map[int]*table
+	all     []level // for every table of every joined proxy, by class
+	out     []bool  // withdrawn, by backend
+	streams []*stream
+
+	turned         []int // backends withdrawn or let back at this time
+	mark           int
+	marked, toEach bool
+}
+
+// table is one of those that proxies can be bound to.
+type table struct {
+	weights []float64 // by backend; 0 is no line
+	changed []int     // backends whose lines were set at this time
+	levels  []level   // by class
+}
+
+// level is how much of a class proxies let in, and how they try again.
+type level struct {
+	set       bool
+	allowance float64
+	tries     decide.Tries
+}
+
+// holding is what a proxy does with a backend, whatever its tables say.
+type holding uint8
+
+const (
+	unsaid holding = iota // as the proxy came
+	clear
+	shut
+)
+
+// stream is a joined proxy's.
+type stream struct {
+	peer    *peer
+	bound   []int // table by class, or unbound
+	due     uint16
+	touched bool
+	levels  []level // as last written, by class
+	held    []holding
+	keeps   bool // it may have come with backends shut out by others
+}
+
+const unbound = -1
+
+func newTables(classes [][]byte, name func(int) []byte, frame, parts int) *tables {
+	return &tables{classes: classes, name: name, frame: frame, parts: parts, laid: map[int]*table{},
+		all: make([]level, len(classes))}
+}
+
+func (t *tables) join(proxy int, p *peer, keeps bool) {
+	for len(t.streams) <= proxy {
+		t.streams = append(t.streams, nil)
+	}
+	t.streams[proxy] = &stream{peer: p, keeps: keeps, levels: make([]level, len(t.classes)),
+		bound: slices.Repeat([]int{unbound}, len(t.classes))}
+}
+
+func (t *tables) leave(proxy int) { t.streams[proxy] = nil }
+
+func (t *tables) at(proxy int) *stream {
+	if proxy < 0 || proxy >= len(t.streams) {
+		return nil
+	}
+	return t.streams[proxy]
+}
+
+func (t *tables) table(number int) *table {
+	if t.laid[number] == nil {
+		t.laid[number] = &table{levels: make([]level, len(t.classes))}
+	}
+	return t.laid[number]
+}
+
+func (t *tables) mask(classes uint16) uint16 {
+	if every := uint16(1<<len(t.classes) - 1); classes != 0 {
+		return classes & every
+	} else {
+		return every
+	}
+}
+
+// SetLine sets or takes out a line of a table.
+func (t *tables) SetLine(number, backend int, weight float64) {
+	in := t.table(number)
+	for len(in.weights) <= backend {
+		in.weights = append(in.weights, 0)
+	}
+	in.weights[backend] = figure(weight)
+	if !slices.Contains(in.changed, backend) {
+		in.changed = append(in.changed, backend)
+	}
+	t.touch(func(s *stream) bool { return slices.Contains(s.bound, number) })
+}
+
+// Bind gives a proxy a whole table, and later what changes in it.
+func (t *tables) Bind(number, proxy int, classes uint16) {
+	s := t.at(proxy)
+	if s == nil {
+		return // it left meanwhile
+	}
+	t.table(number)
+	for class := range s.bound {
+		if t.mask(classes)&(1<<class) != 0 {
+			s.bound[class] = number
+			s.due |= 1 << class
+		}
+	}
+	s.touched = true
+}
+
+// Withdraw keeps joined proxies off a backend whatever their tables say, or lets them use it again.
+func (t *tables) Withdraw(backend int, out bool) {
+	for len(t.out) <= backend {
+		t.out = append(t.out, false)
+	}
+	t.out[backend] = out
+	t.turned = append(t.turned, backend)
+	t.touch(func(s *stream) bool { return t.concerns(s, backend) })
+}
+
+// Admit sets a level of a table, or of all. The lower one stands, and the table's own manner of trying again.
+func (t *tables) Admit(number int, classes uint16, allowance float64, tries decide.Tries) {
+	levels, concerned := t.all, func(*stream) bool { return true }
+	if number != decide.AllTables {
+		levels = t.table(number).levels
+		concerned = func(s *stream) bool { return slices.Contains(s.bound, number) }
+	}
+	for class := range levels {
+		if t.mask(classes)&(1<<class) != 0 {
+			levels[class] = level{true, figure(allowance), tries}
+		}
+	}
+	t.touch(concerned)
+}
+
+// Mark has the proxies reached at this time, or all joined ones, say when they have applied it.
+func (t *tables) Mark(number int, everyone bool) {
+	t.mark, t.marked, t.toEach = number, true, t.toEach || everyone
+}
+
+func (t *tables) touch(concerned func(*stream) bool) {
+	for _, s := range t.streams {
+		if s != nil && concerned(s) {
+			s.touched = true
+		}
+	}
+}
+
+// uses tells whether a proxy's tables, as far as they are ours, have a line for a backend.
+func (t *tables) uses(s *stream, backend int) bool {
+	for _, number := range s.bound {
+		if number != unbound && t.weight(number, backend) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *tables) weight(number, backend int) float64 {
+	if w := t.laid[number].weights; backend < len(w) {
+		return w[backend]
+	}
+	return 0
+}
+
+// concerns tells whether a withdrawal of a backend goes to a proxy: tables that are not ours may have it.
+func (t *tables) concerns(s *stream, backend int) bool {
+	return slices.Contains(s.bound, unbound) || t.uses(s, backend)
+}
+
+// flush writes what was ordered since the last one and hands each message over, in the order of the proxies. A proxy
+// whose message could not be handed over is given to lost.
+func (t *tables) flush(lost func(proxy int, err error), sent func(proxy int, mark int, lines int)) {
+	for proxy, s := range t.streams {
+		if s == nil || !s.touched && !(t.marked && t.toEach) {
+			continue
+		}
+		s.touched = false
+		message, lines, err := t.message(s)
+		if err == nil {
+			err = s.peer.send(message)
+		}
+		if err != nil {
+			lost(proxy, err)
+			continue
+		}
+		if t.marked {
+			sent(proxy, t.mark, lines)
+		}
+	}
+	for _, in := range t.laid {
+		in.changed = in.changed[:0]
+	}
+	t.turned, t.marked, t.toEach = t.turned[:0], false, false
+}
+
+// message encodes what one proxy must be told, and notes it as written.
+func (t *tables) message(s *stream) ([]byte, int, error) {
+	o := &order{classes: t.classes, limit: t.frame, most: t.parts}
+	rest := uint16(1<<len(t.classes) - 1)
+	for class, number := range s.bound {
+		if rest&(1<<class) == 0 || number == unbound {
+			continue
+		}
+		var due, stand uint16 // classes of this table that get it whole, and those that have it
+		for other, same := range s.bound {
+			if same == number {
+				due |= s.due & (1 << other)
+				stand |= 1 << other &^ s.due
+			}
+		}
+		rest &^= due | stand
+		in := t.laid[number]
+		if due != 0 {
+			o.whole(due, t.lines(in, nil))
+		}
+		if stand != 0 && len(in.changed) > 0 {
+			o.change(stand, t.lines(in, in.changed))
+		}
+	}
+	t.writeLevels(s, o)
+	t.writeHeld(s, o)
+	s.due = 0
+	if t.marked {
+		o.ticket(t.mark)
+	}
+	if o.parts == 0 {
+		o.next(0)
+	}
+	raw, err := o.end()
+	return raw, o.lines, err
+}
+
+// lines encodes the changed lines of a table, or all that stand.
+func (t *tables) lines(in *table, changed []int) (lines [][]byte) {
+	for _, b := range changed {
+		lines = append(lines, line(t.name(b), in.weights[b]))
+	}
+	for b, weight := range in.weights {
+		if changed == nil && weight > 0 {
+			lines = append(lines, line(t.name(b), weight))
+		}
+	}
+	return lines
+}
+
+// writeLevels writes what differs from the levels that the proxy was last told; a whole table forgets them.
+func (t *tables) writeLevels(s *stream, o *order) {
+	var open uint16
+	for class := range t.classes {
+		if s.due&(1<<class) != 0 {
+			s.levels[class] = level{}
+		}
+		if now := t.level(s, class); now != s.levels[class] {
+			s.levels[class] = now
+			open |= 1 << class
+		}
+	}
+	for class, now := range s.levels {
+		same := uint16(0)
+		for other := class; other < len(s.levels) && open&(1<<class) != 0; other++ {
+			if open&(1<<other) != 0 && s.levels[other] == now {
+				same |= 1 << other
+			}
+		}
+		if same != 0 {
+			o.level(same, now)
+			open &^= same
+		}
+	}
+}
+
+// level is what stands for a class at a proxy: the lower one, and the table's own manner of trying again.
+func (t *tables) level(s *stream, class int) level {
+	now := t.all[class]
+	if number := s.bound[class]; number != unbound {
+		if own := t.laid[number].levels[class]; own.set {
+			if now.set {
+				own.allowance = min(own.allowance, now.allowance)
+			}
+			return own
+		}
+	}
+	return now
+}
+
+// writeHeld shuts out what is withdrawn and lets back what is not. A proxy keeps what it was told by others or in our
+// earlier life, while the decisions count on one that is bound to heed only ours: so whatever its tables use and it
+// may hold is let back with the first line for it.
+func (t *tables) writeHeld(s *stream, o *order) {
+	var out, back [][]byte
+	most := len(t.out)
+	for _, in := range t.laid {
+		most = max(most, len(in.weights))
+	}
+	for b := range most {
+		if !t.uses(s, b) && !(slices.Contains(t.turned, b) && t.concerns(s, b)) {
+			continue
+		}
+		for len(s.held) <= b {
+			came := clear
+			if s.keeps {
+				came = unsaid
+			}
+			s.held = append(s.held, came)
+		}
+		switch withdrawn := b < len(t.out) && t.out[b]; {
+		case withdrawn && s.held[b] != shut:
+			out, s.held[b] = append(out, t.name(b)), shut
+		case !withdrawn && s.held[b] != clear:
+			back, s.held[b] = append(back, t.name(b)), clear
+		}
+	}
+	o.backends("out", out)
+	o.backends("back", back)
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -100,6 +100,7 @@
 
 type proxy struct {
 	joined, bound bool
+	keeps         bool // may hold withdrawals of others: a backend's first line lets it back, and costs two
 	zone          int
 	usual         float64 // exchanges a second that come to it on ordinary days
 	leftAt        int64
@@ -165,8 +166,7 @@
 // ask asks for the list. An answer, or a failure, always comes.
 func (c *Controller) ask() {
 	c.host.Watch()
-	c.askWait = max(second/2, min(2*c.askWait, c.sight.AskWithin/4))
-	c.askAt = 1 << 62
+	c.askWait, c.askAt = max(second/2, min(2*c.askWait, c.sight.AskWithin/4)), 1<<62
 }
 
 // ListFailed asks again after a while, spread by chance so that controllers do not ask together.
@@ -267,20 +267,19 @@
 }
 
 // Joined: the proxy holds stale tables until it is bound, so it is bound as soon as the channel has room.
-func (c *Controller) Joined(id, zone int, usual float64) {
+func (c *Controller) Joined(id, zone int, usual float64, keeps bool) {
 	for len(c.proxies) <= id {
 		c.proxies = append(c.proxies, &proxy{})
 	}
-	now := c.host.Now()
 	n := len(c.classes) // it counts with its ordinary traffic until it is heard of
-	c.proxies[id] = &proxy{joined: true, bound: c.owners.exist(), zone: zone, usual: max(usual, 1),
+	c.proxies[id] = &proxy{joined: true, bound: c.owners.exist(), keeps: keeps, zone: zone, usual: max(usual, 1),
 		rates: slices.Repeat([]float64{usual / float64(n)}, n)}
 	for i := range c.owners.all { // it reads lines from the store, but must hear which writes are held
 		if s := &c.owners.all[i]; s.held > 0 {
 			s.held = -1
 		}
 	}
-	c.bindWaiting(now)
+	c.bindWaiting(c.host.Now())
 }
 
 // Left: the proxy goes on with what it holds; nothing more can be told to it.
@@ -332,21 +331,21 @@
 	return b.Weight * c.share(b, now)
 }
 
-// publish lays what differs from the standing tables. What the rules need goes at once: leaving a draining
-// or gone backend, easing off a cold one, filling an empty table. All else keeps the pace, or goes along.
+// publish lays what differs from the standing tables. What the rules need goes at once: leaving a
+// draining or gone backend, easing off a cold one, filling an empty table. All else keeps the pace, or goes along.
 func (c *Controller) publish(now int64, ordinary bool) {
 	bare := c.laid(-1) == 0
 	must := func(b *backend, want float64) bool {
 		return want < b.line && (c.cold(b, now) || c.mustLeave(b)) || want > 0 && bare
 	}
-	cost, strange, need, header := 0., 0., 0., c.channel.Head+1+float64(len(c.classes)) // need: by a rule, now
+	cost, kept, strange, need, header := 0., 0., 0., 0., c.channel.Head+1+float64(len(c.classes))
 	for _, p := range c.proxies {
-		cost += float64(count(p.bound))
+		cost, kept = cost+float64(count(p.bound)), kept+float64(count(p.bound && p.keeps))
 		strange += float64(count(p.joined && (!p.bound || c.owners.exist())))
 	}
 	for _, b := range c.backends {
 		if must(b, c.wanted(b, now)) || b.out != c.mustLeave(b) {
-			need = max(need, cost*header) + max(cost, strange, 1)
+			need = max(need, cost*header) + max(cost+kept, strange, 1)
 		}
 	}
 	c.pressed = need > 0 && c.channel.lines+need > c.channel.Backlog // binds leave the room to it
@@ -361,7 +360,7 @@
 				if want == b.line || must(b, want) != first {
 					continue
 				}
-				if !c.channel.fits(cost*(1+header*float64(count(!laid))), first) {
+				if !c.channel.fits(cost*(1+header*float64(count(!laid)))+kept*float64(count(b.line == 0)), first) {
 					left = true
 					continue
 				}
@@ -394,13 +393,15 @@
 }
 
 func (c *Controller) setLine(b *backend, weight float64) {
-	b.line = weight
-	if c.owners.exist() {
+	entering := b.line == 0
+	if b.line = weight; c.owners.exist() {
 		return // the owner of a slice is its table
 	}
 	c.tables(b.Zone, func(table int, _ uint16) {
 		c.host.SetLine(table, b.Backend, weight)
-		c.billEach(1, func(p *proxy) bool { return p.bound && (table == 0 || p.zone == b.Zone) })
+		uses := func(p *proxy) bool { return p.bound && (table == 0 || p.zone == b.Zone) }
+		c.billEach(1, uses)
+		c.billEach(1, func(p *proxy) bool { return entering && p.keeps && uses(p) })
 	})
 }
 
@@ -413,7 +414,7 @@
 		cost, bare := c.channel.Head+1+float64(len(c.classes)), false
 		c.tables(p.zone, func(table int, _ uint16) {
 			lines := c.laid(table - 1)
-			cost += float64(1 + lines)
+			cost += float64(1 + lines + lines*count(p.keeps))
 			bare = bare || lines == 0
 		})
 		if !bare && c.channel.fits(cost, false) && c.channel.may(p, now, false) {
@@ -852,8 +853,7 @@
 }
 
 func (l *ledger) drop(n int) {
-	l.waiting = l.waiting[n:]
-	l.lines = 0
+	l.waiting, l.lines = l.waiting[n:], 0
 	for _, o := range l.waiting {
 		l.lines += o.lines
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -61,8 +61,8 @@
 		s.c.Left(0)
 		s.c.Left(0)
 		s.c.Came(0, 0, 5, second)
-		s.c.Joined(0, 1, 10)
-		s.c.Joined(0, 1, 10)
+		s.c.Joined(0, 1, 10, false)
+		s.c.Joined(0, 1, 10, false)
 		s.plays(12, func() { s.hears(0, 4, 4, 0) })
 		if len(s.timers) != 1 {
 			t.Errorf("%d timers run", len(s.timers))
@@ -235,7 +235,7 @@
 		s := begin(t, usual(), 6, 3)
 		s.plays(3, func() { s.fine() })
 		for p := range 12 {
-			s.c.Joined(3+p, 0, 10)
+			s.c.Joined(3+p, 0, 10, false)
 			if p == 1 {
 				s.c.Listed(false, []Entry{{Backend: 1, Condition: Draining, Weight: 2, Zone: 1}})
 			}
@@ -255,7 +255,7 @@
 			t.Errorf("%d left after the first wave, %d after the second", first, len(s.tables[0]))
 		}
 		before := len(s.messages)
-		if s.c.Joined(20, 0, 10); s.bound["20 0 3"] { // found by a hunt: binds kept the channel from emptying
+		if s.c.Joined(20, 0, 10, false); s.bound["20 0 3"] { // found by a hunt: binds kept the channel from emptying
 			t.Error("bound while drains wait for room")
 		}
 		if s.plays(2, nil); len(s.tables[0]) != 10 || len(s.messages) > before+3 {
@@ -266,7 +266,7 @@
 		// Found by a hunt at size: 47 withdrawals went to 40 proxies that had just joined, in one message each.
 		s := begin(t, usual(), 40, 0)
 		for p := range 30 {
-			s.c.Joined(p, 0, 10)
+			s.c.Joined(p, 0, 10, false)
 		}
 		if s.lists(0, 35, Gone, 0); s.c.channel.lines > 900 {
 			t.Errorf("%.0f lines wait", s.c.channel.lines)
@@ -338,7 +338,7 @@
 	t.Run("whole tables wait while half the backlog is in use, and until marks come back", func(t *testing.T) {
 		s := begin(t, usual(), 30, 0)
 		for p := range 28 {
-			s.c.Joined(p, 0, 10)
+			s.c.Joined(p, 0, 10, false)
 		}
 		n := len(s.bound)
 		if n == 0 || float64(n)*35 > 450 {
@@ -501,8 +501,8 @@
 		s.plays(7, little(900_000, 5))
 		s.plays(20, little(250_000, 2))
 		was := s.c.levels.limit
-		s.c.Joined(2, 0, 100)
-		s.c.Joined(3, 0, 100)
+		s.c.Joined(2, 0, 100, false)
+		s.c.Joined(3, 0, 100, false)
 		s.plays(2, func() {
 			for b := range 8 {
 				s.hears(b, 10, 0, 250_000)
@@ -592,8 +592,8 @@
 			s.c.SliceLine(id, id, 1)
 			s.c.SliceCame(id, 0, 10*id, second)
 		}
-		s.c.Joined(0, 0, 10)
-		s.c.Joined(1, 1, 10)
+		s.c.Joined(0, 0, 10, false)
+		s.c.Joined(1, 1, 10, false)
 		s.plays(1, nil)
 		return s
 	}
@@ -613,7 +613,7 @@
 		}
 		s.c.Left(1) // it goes on writing for a while
 		s.plays(2, nil)
-		s.c.Joined(1, 1, 10) // and is told again when it is back
+		s.c.Joined(1, 1, 10, false) // and is told again when it is back
 		s.plays(1.5, nil)
 		if s.levels["3 2"] != 0 {
 			t.Error("writes go on though the lost proxy's may be in hand")
@@ -644,7 +644,7 @@
 		s.c.Listed(false, gone)
 		before := len(s.script)
 		for p := 2; p < 12; p++ {
-			s.c.Joined(p, 0, 10)
+			s.c.Joined(p, 0, 10, false)
 		}
 		s.plays(1, nil)
 		told := 0
--- a/decide/fake_test.go
+++ b/decide/fake_test.go
@@ -109,7 +109,7 @@
 		s.c.Listed(true, all)
 	}
 	for p := range proxies {
-		s.c.Joined(p, p%2, 10)
+		s.c.Joined(p, p%2, 10, false)
 		s.c.Applied(p, s.mark)
 	}
 	return s
--- a/internal/benchwire/door.go
+++ b/internal/benchwire/door.go
@@ -7,6 +7,7 @@
 	"math"
 
 	"wheelrill/decide"
+	"wheelrill/internal/start"
 )
 
 const (
@@ -47,7 +48,7 @@
 // Handle plays one batch and gives the reply to it.
 func (d *Door) Handle(batch Batch) (*Reply, error) {
 	d.reply.Reset(batch.Seq)
-	d.clock = micros(batch.Clock)
+	d.clock = start.Micros(batch.Clock)
 	for i := range batch.Events() {
 		if err := d.take(batch.event(i)); err != nil {
 			return nil, fmt.Errorf("frame %d, event %d: %w", batch.Seq, i, err)
@@ -101,16 +102,13 @@
 func (d *Door) create(id uint16, seed uint64, text string) {
 	in := &instance{door: d, id: id}
 	d.instances[id] = in
-	f := readFacts(text, d.odd)
-	channel, limits, classes := f.channel(), f.limits(), f.classes()
-	partition, sight, admission := f.partition(), f.sight(), f.admission()
-	in.fields, in.classes = f.loadFields(), len(classes)
-	in.zones, in.slices = len(f.list("azs")), partition.Count
-	if f.err == nil && in.zones == 0 {
-		f.fail("azs", "is missing")
-	}
-	if f.err != nil {
-		d.reply.text(acBail, id, f.err.Error())
+	f := start.Lines(text, d.odd)
+	channel, limits, classes := f.Channel(), f.Limits(), f.Classes()
+	partition, sight, admission := f.Partition(), f.Sight(), f.Admission()
+	in.fields, in.classes = f.LoadFields(), len(classes)
+	in.zones, in.slices = len(f.Zones()), partition.Count
+	if err := f.Err(); err != nil {
+		d.reply.text(acBail, id, err.Error())
 		return
 	}
 	in.guarded(func() {
@@ -172,7 +170,7 @@
 		in.door.odd("a peer message came, though we never send one")
 	case evEnrolled:
 		if in.in(int(r.u8(8)), in.zones, "zone") {
-			in.control.Joined(in.proxies.number(uint32(r.u16(9))), int(r.u8(8)), r.f32(4))
+			in.control.Joined(in.proxies.number(uint32(r.u16(9))), int(r.u8(8)), r.f32(4), false)
 		}
 	case evLost:
 		if p, ok := in.known(&in.proxies, uint32(r.u16(3)), "proxy"); ok {
@@ -186,15 +184,15 @@
 		if b, ok := in.known(&in.backends, r.u32(4), "backend"); ok && in.in(int(r.u8(3)), in.zones, "zone") {
 			tries := int(r.u32(8))
 			failed := min(int(r.u32(12)), tries)
-			in.control.Heard(b, tries, failed, micros(r.f64(16)), in.load(r, 32))
+			in.control.Heard(b, tries, failed, start.Micros(r.f64(16)), in.load(r, 32))
 		}
 	case evArrivals:
 		if p, ok := in.known(&in.proxies, uint32(r.u16(3)), "proxy"); ok && in.in(int(r.u8(5)), in.classes, "class") {
-			in.control.Came(p, int(r.u8(5)), int(r.u32(6)), micros(r.f64(14)))
+			in.control.Came(p, int(r.u8(5)), int(r.u32(6)), start.Micros(r.f64(14)))
 		}
 	case evPressure:
 		if in.in(int(r.u16(3)), in.slices, "slice") && in.in(int(r.u8(5)), in.classes, "class") {
-			in.control.SliceCame(int(r.u16(3)), int(r.u8(5)), int(r.u32(6)), micros(r.f64(14)))
+			in.control.SliceCame(int(r.u16(3)), int(r.u8(5)), int(r.u32(6)), start.Micros(r.f64(14)))
 		}
 	case evTenure:
 		if in.in(int(r.u16(3)), in.slices, "slice") {
@@ -259,7 +257,7 @@
 			continue
 		}
 		entries = append(entries, decide.Entry{
-			Backend: in.backends.number(e.u32(18)), Condition: condition, Started: micros(e.f64(0)),
+			Backend: in.backends.number(e.u32(18)), Condition: condition, Started: start.Micros(e.f64(0)),
 			Weight: e.f32(11), Zone: int(e.u8(17)),
 		})
 	}
--- a/internal/benchwire/frame.go
+++ b/internal/benchwire/frame.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"math"
+
+	"wheelrill/internal/start"
 )
 
 const (
@@ -77,10 +79,10 @@
 func (r record) u32(at int) uint32 { return binary.LittleEndian.Uint32(r.raw[at:]) }
 func (r record) u64(at int) uint64 { return binary.LittleEndian.Uint64(r.raw[at:]) }
 func (r record) f32(at int) float64 {
-	return sane(float64(math.Float32frombits(binary.LittleEndian.Uint32(r.raw[at:]))))
+	return start.Sane(float64(math.Float32frombits(binary.LittleEndian.Uint32(r.raw[at:]))))
 }
 func (r record) f64(at int) float64 {
-	return sane(math.Float64frombits(binary.LittleEndian.Uint64(r.raw[at:])))
+	return start.Sane(math.Float64frombits(binary.LittleEndian.Uint64(r.raw[at:])))
 }
 
 // tailOf gives the part of the tail that the field at this position names, unit bytes for each counted thing.
@@ -93,20 +95,6 @@
 	return r.tail[from : from+size], nil
 }
 
-// sane turns what is not a usable figure into 0, the wire's word for absent.
-func sane(x float64) float64 {
-	if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
-		return 0
-	}
-	return x
-}
-
-// micros turns the wire's milliseconds into whole microseconds.
-func micros(ms float64) int64 {
-	const longest = float64(1 << 53)
-	return int64(min(math.Round(sane(ms)*1000), longest))
-}
-
 func millis(us int64) float64 { return float64(us) / 1000 }
 
 // Reply collects the actions of one batch.
--- /dev/null
+++ b/internal/start/facts.go
@@ -0,0 +1,256 @@
+// Package start reads the settings that a controller starts with into the types of the decisions, whether they
+// come as lines of path=value or as nested JSON. It decides nothing.
+package start
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fastjson"
+
+	"wheelrill/decide"
+)
+
+// Facts are settings by their paths. The first key that is missing or unusable is kept.
+type Facts struct {
+	pairs map[string]string
+	lists map[string][]string
+	err   error
+	odd   func(format string, args ...any)
+}
+
+// Lines reads settings of one path=value a line; what is odd but usable is told to odd.
+func Lines(text string, odd func(string, ...any)) *Facts {
+	f := &Facts{pairs: map[string]string{}, odd: odd}
+	for _, line := range strings.Split(text, "\n") {
+		if key, value, ok := strings.Cut(strings.TrimSpace(line), "="); ok {
+			f.pairs[key] = value
+		}
+	}
+	return f
+}
+
+// Nested reads settings from an object, flattened to the paths that Lines reads; lists keep their texts.
+func Nested(settings *fastjson.Value, odd func(string, ...any)) *Facts {
+	f := &Facts{pairs: map[string]string{}, lists: map[string][]string{}, odd: odd}
+	f.flatten("", settings)
+	return f
+}
+
+func (f *Facts) flatten(path string, v *fastjson.Value) {
+	under := func(key string) string { return strings.TrimPrefix(path+"."+key, ".") }
+	switch v.Type() {
+	case fastjson.TypeObject:
+		v.GetObject().Visit(func(key []byte, item *fastjson.Value) { f.flatten(under(string(key)), item) })
+	case fastjson.TypeArray:
+		f.pairs[under("count")] = strconv.Itoa(len(v.GetArray()))
+		words := []string{}
+		for i, item := range v.GetArray() {
+			if item.Type() == fastjson.TypeObject {
+				f.flatten(under(strconv.Itoa(i)), item)
+			}
+			words = append(words, plain(item))
+		}
+		f.pairs[path], f.lists[path] = strings.Join(words, ","), words
+	default:
+		f.pairs[path] = plain(v)
+	}
+}
+
+func plain(v *fastjson.Value) string {
+	if v.Type() == fastjson.TypeString {
+		return string(v.GetStringBytes())
+	}
+	return string(v.MarshalTo(nil))
+}
+
+// Fail notes that a key cannot be used; the first one stays.
+func (f *Facts) Fail(key, why string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("setting %s %s", key, why)
+	}
+}
+
+// Err names the first key that was missing or unusable among those read so far.
+func (f *Facts) Err() error { return f.err }
+
+// Micros turns milliseconds into whole microseconds; what is not a usable figure is 0.
+func Micros(ms float64) int64 {
+	const longest = float64(1 << 53)
+	return int64(min(math.Round(Sane(ms)*1000), longest))
+}
+
+// Sane turns what is not a usable figure into 0, the word for absent.
+func Sane(x float64) float64 {
+	if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+		return 0
+	}
+	return x
+}
+
+// number reads a figure that the module cannot do without.
+func (f *Facts) number(key string) float64 {
+	text, ok := f.pairs[key]
+	if !ok {
+		f.Fail(key, "is missing")
+		return 0
+	}
+	x, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+		f.Fail(key, fmt.Sprintf("is not a usable number: %q", text))
+		return 0
+	}
+	return x
+}
+
+// Count reads a figure that sizes something here.
+func (f *Facts) Count(key string) int {
+	x := f.number(key)
+	if x > math.MaxUint16 {
+		f.Fail(key, "is out of all bounds")
+		return 0
+	}
+	return int(x)
+}
+
+// Maybe reads a figure whose absence means the given one.
+func (f *Facts) Maybe(key string, absent float64) float64 {
+	if _, ok := f.pairs[key]; !ok {
+		return absent
+	}
+	return f.number(key)
+}
+
+func (f *Facts) Span(key string) int64 { return Micros(f.number(key)) }
+
+// truth reads a yes or no; another word, or none, is the careful one.
+func (f *Facts) truth(key string, careful bool) bool {
+	switch text, ok := f.pairs[key]; {
+	case text == "true":
+		return true
+	case text == "false":
+		return false
+	case ok:
+		f.odd("setting %s: unknown word %q", key, text)
+	}
+	return careful
+}
+
+// List reads a list of plain words.
+func (f *Facts) List(key string) []string {
+	if words, ok := f.lists[key]; ok {
+		return words
+	}
+	if f.pairs[key] == "" {
+		return nil
+	}
+	return strings.Split(f.pairs[key], ",")
+}
+
+// word finds a word of the wire among ours; another word, or none, is the careful one.
+func word[T any](f *Facts, key string, careful T, known map[string]T) T {
+	text, ok := f.pairs[key]
+	if value, there := known[text]; there {
+		return value
+	}
+	if ok {
+		f.odd("setting %s: unknown word %q", key, text)
+	}
+	return careful
+}
+
+func (f *Facts) Classes() []decide.Class {
+	writes, own := f.List("familyInfo.classWrites"), f.List("familyInfo.staysLocal")
+	at := func(list []string, i int, absent bool) bool {
+		if i < len(list) {
+			return list[i] == "true"
+		}
+		return absent
+	}
+	count := f.Count("profiles.count")
+	if f.err == nil && (count == 0 || count > 16) {
+		f.Fail("profiles.count", "is outside 1 to 16")
+	}
+	var classes []decide.Class
+	for i := 0; f.err == nil && i < count; i++ {
+		key := fmt.Sprintf("profiles.%d.", i)
+		class := decide.Class{
+			Expected:   f.Span(key + "target"),
+			Outer:      f.Span(key + "deadline"),
+			Importance: f.Maybe(key+"worth", 1),
+			Writes:     at(writes, i, true),
+			OwnZone:    at(own, i, false),
+		}
+		classes = append(classes, class)
+	}
+	return classes
+}
+
+func (f *Facts) Channel() decide.Channel {
+	return decide.Channel{
+		LinesPerS:    f.number("familyInfo.egressPerS"),
+		Head:         f.number("familyInfo.overhead"),
+		Backlog:      f.number("familyInfo.backlog"),
+		LongestWay:   f.Span("familyInfo.pushDelayMax"),
+		MessagesMost: int(min(f.Maybe("familyInfo.messagesMost", 0), math.MaxInt32)),
+		MessagesSpan: Micros(f.Maybe("familyInfo.messagesOver", 0)),
+	}
+}
+
+func (f *Facts) Limits() decide.Limits {
+	return decide.Limits{
+		Grace:             f.Span("rules.stopSendingWithin"),
+		ColdShare:         f.number("rules.coldShare"),
+		WarmBy:            f.Span("rules.rampTime"),
+		OnlyDrainingBinds: f.truth("rules.droppedStayOpen", false),
+	}
+}
+
+func (f *Facts) Partition() decide.Partition {
+	p := decide.Partition{Count: int(min(f.Maybe("familyInfo.partitionsN", 0), math.MaxUint16))}
+	if p.Count > 0 {
+		p.SingleOwner = f.truth("familyInfo.singleWriter", true)
+		p.WritesOn = f.Span("familyInfo.keepsWriting")
+		p.Settle = f.Span("familyInfo.lingers")
+	}
+	return p
+}
+
+func (f *Facts) Sight() decide.Sight {
+	s := decide.Sight{
+		ReportEvery: f.Span("familyInfo.reportEvery"),
+		MayProbe:    f.truth("limits.mayProbe", false),
+		LiveWeights: word(f, "weights", false, map[string]bool{
+			"silent": false, "nominal": false, "rough": false, "live": true}),
+		MustAsk: word(f, "membershipMode", true, map[string]bool{
+			"automatic": false, "subscribe": true}),
+	}
+	if s.MustAsk {
+		s.AskWithin = f.Span("rules.askWithin")
+	}
+	return s
+}
+
+func (f *Facts) Admission() decide.Admission {
+	return word(f, "familyInfo.admission", decide.AdmitNone, map[string]decide.Admission{
+		"silent": decide.AdmitNone, "fraction": decide.AdmitShare, "per_second": decide.AdmitRate})
+}
+
+// LoadFields gives the positions of the figures we read in a load report.
+func (f *Facts) LoadFields() []string {
+	if f.pairs["reporting.how"] == "silent" {
+		return nil
+	}
+	return f.List("reporting.fields")
+}
+
+// Zones reads the names of the zones.
+func (f *Facts) Zones() []string {
+	zones := f.List("azs")
+	if f.err == nil && len(zones) == 0 {
+		f.Fail("azs", "is missing")
+	}
+	return zones
+}
