--- a/cmd/wheelrill/main.go
+++ b/cmd/wheelrill/main.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log"
 	"os"
 	"os/signal"
@@ -21,9 +23,13 @@
 }
 
 func run() error {
-	configuration, err := os.ReadFile(os.Getenv("LB_CONFIG"))
+	path := os.Getenv("LB_CONFIG")
+	if path == "" {
+		return errors.New("LB_CONFIG is not set")
+	}
+	configuration, err := os.ReadFile(path)
 	if err != nil {
-		return err
+		return fmt.Errorf("LB_CONFIG: %w", err)
 	}
 	c, err := controller.New(controller.Place{Name: os.Getenv("LB_NAME"), Listen: os.Getenv("LB_LISTEN"),
 		Discovery: os.Getenv("LB_DISCOVERY")}, configuration, log.Default())
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -11,7 +11,6 @@
 	"net"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -56,14 +55,20 @@
 	case settings == nil || settings.Type() != fastjson.TypeObject:
 		return nil, errors.New("configuration: settings is missing")
 	}
-	log := newJournal(to)
+	bounds := usualLimits()
+	given := root.Get("limits")
+	cores, _ := figureAt(given, "cores")
+	memory, _ := figureAt(given, "memory_mb")
+	sockets, _ := figureAt(given, "sockets")
+	bounds.give(cores, memory, sockets)
+	log := newJournal(to, bounds.quiet, bounds.sorts)
 	facts := start.Nested(settings, func(format string, args ...any) {
 		log.say("event=setting text=%q", fmt.Sprintf(format, args...))
 	})
 	channel, rules, classes := facts.Channel(), facts.Limits(), facts.Classes()
-	partition, sight, admission := facts.Partition(), facts.Sight(), facts.Admission()
+	sight, admission := facts.Sight(), facts.Admission()
 	zones, nodes := facts.Zones(), facts.Count("familyInfo.proxyCount")
-	if partition.Count > 0 {
+	if facts.Maybe("familyInfo.partitionsN", 0) > 0 {
 		facts.Fail("familyInfo.partitionsN", "asks for slices, which no page describes on sockets yet")
 	}
 	if sight.MayProbe {
@@ -83,26 +88,20 @@
 	if err := facts.Err(); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-
-	given := root.Get("limits")
-	cores, _ := figureAt(given, "cores")
-	memory, _ := figureAt(given, "memory_mb")
-	sockets, ok := figureAt(given, "sockets")
-	if !ok {
-		sockets = 1024
-	}
-	bounds := newLimits(cores, int(memory), int(sockets), nodes, len(zones), tick, channel, sight)
-	c := &Controller{name: place.Name, listen: place.Listen, limits: &bounds, log: log}
-	m := &module{limits: &bounds, log: log, zones: index(zones), zoneNames: zones, classes: index(names),
+	bounds.size(nodes, len(zones), tick, channel, sight)
+	c := &Controller{name: place.Name, listen: place.Listen, limits: bounds, log: log}
+	m := &module{limits: bounds, log: log, zones: index(zones), zoneNames: zones, classes: index(names),
 		backends: map[string]int{}, mail: make(chan func(), bounds.mailbox), done: make(chan struct{}),
-		ready: make(chan struct{}), started: time.Now()}
+		ready: make(chan struct{}), clock: newClock()}
 	m.tables = newTables(nameText, func(backend int) []byte { return m.names[backend] }, bounds.frame, bounds.parts)
 	m.now = m.clock()
-	m.control = decide.New(m, seed(root.GetStringBytes("seed")), classes, channel, rules, partition, sight, admission)
+	m.control = decide.New(m, seed(root.GetStringBytes("seed")), classes, channel, rules, decide.Partition{},
+		sight, admission)
 	c.module = m
-	c.list = newList(place.Discovery, &bounds, log, func(whole bool, version int64, servers []*fastjson.Value) {
+	c.list = newList(place.Discovery, bounds, log, func(whole bool, version int64, servers []*fastjson.Value) {
 		m.post(func() { m.listed(whole, version, servers) })
 	})
+	m.list = c.list
 	if known := root.Get("known"); known != nil {
 		if err := c.list.answer(known); err != nil {
 			log.say("event=known_unusable error=%q", err)
--- /dev/null
+++ b/controller/controller_test.go
@@ -0,0 +1,507 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"regexp"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+func TestModule(t *testing.T) {
+	t.Run("a proxy that joins is given the whole table, and no more lines than the decisions count", func(t *testing.T) {
+		m, _ := begin(t)
+		for node, keeps := range []bool{false, true} {
+			p, h := joins(t, m, 1, node, keeps), newHearer("read it", "write")
+			h.shut["s-1"] = keeps
+			// Counted: headers aside a mark, a level for each class, a bind and its lines, each twice if it keeps any.
+			most := 1 + 2 + 1 + 2
+			if keeps {
+				most += 2
+			}
+			if h.hears(t, p); len(h.picks(0)) != 2 || len(h.picks(1)) != 2 || len(h.tickets) != 1 || h.cost > most {
+				t.Errorf("node %d: got %+v", node, h)
+			}
+		}
+	})
+	t.Run("what happens at one clock time goes out as one message", func(t *testing.T) {
+		m, _ := begin(t)
+		p, h := joins(t, m, 1, 3, false), newHearer("read it", "write")
+		h.hears(t, p)
+		m.applied(p, h.tickets[0])
+		news := fmt.Sprintf("[%s,%s,%s]", backendIs(0, "draining"), backendIs(1, "removed"), backendIs(2, "up"))
+		later(m, 5*second, func() { m.listed(false, 2, parsed(t, news).GetArray()) })
+		if h.hears(t, p); h.told != 2 || !slices.Equal(h.picks(0), []string{"s-2"}) {
+			t.Errorf("got %+v", h)
+		}
+	})
+	t.Run("a newer stream takes the place of the old, whose end and marks say nothing", func(t *testing.T) {
+		m, said := begin(t)
+		old, h := joins(t, m, 1, 0, false), newHearer("read it", "write")
+		h.hears(t, old)
+		p, h2 := joins(t, m, 2, 0, true), newHearer("read it", "write")
+		m.turn(func() { m.applied(old, h.tickets[0]); m.left(old) })
+		h2.hears(t, p)
+		if !m.current(p) || old.send(nil) != errEnded || len(h2.picks(0)) != 2 {
+			t.Errorf("current %v, picks %v", m.current(p), h2.picks(0))
+		}
+		stale := joins(t, m, 1, 0, true)
+		if !m.current(p) || stale.send(nil) != errEnded {
+			t.Error("a hello that was under way for long took the stream's place")
+		}
+		m.turn(func() { p.end(io.EOF); m.left(p) })
+		if text, _ := said.read(); m.current(p) || !strings.Contains(text, `event=left node=0 why="EOF"`) {
+			t.Errorf("did not leave: %s", text)
+		}
+	})
+	t.Run("a stream that says nothing and answers no mark is half-open, a quiet one is not", func(t *testing.T) {
+		m, _ := begin(t)
+		gone, talks, quiet := joins(t, m, 1, 0, false), joins(t, m, 2, 1, false), joins(t, m, 3, 2, false)
+		h := newHearer("read it", "write")
+		h.hears(t, quiet)
+		m.turn(func() { m.applied(quiet, h.tickets[0]) })
+		later(m, m.limits.silence-second/2, func() { m.came(1, 0, 4, second) })
+		if !m.current(gone) || !m.current(talks) {
+			t.Error("given up too early")
+		}
+		later(m, second, func() {})
+		if m.current(gone) || !m.current(talks) || !m.current(quiet) {
+			t.Errorf("gone %v, talks %v, quiet %v", m.current(gone), m.current(talks), m.current(quiet))
+		}
+	})
+	t.Run("it is found sooner where others have answered the same mark", func(t *testing.T) {
+		m, _ := begin(t)
+		gone, here := joins(t, m, 1, 0, false), joins(t, m, 2, 1, false)
+		h := newHearer("read it", "write")
+		h.hears(t, here)
+		m.turn(func() { m.applied(here, h.tickets[0]) })
+		later(m, 4*second, func() { m.listed(false, 2, parsed(t, "["+backendIs(0, "draining")+"]").GetArray()) })
+		h.hears(t, here)
+		first := m.joins[0].waiting[0].number
+		m.turn(func() { m.applied(here, h.tickets[len(h.tickets)-1]) })
+		m.joins[0].waiting = slices.DeleteFunc(m.joins[0].waiting, func(w *mark) bool { return w.number == first })
+		later(m, m.limits.lag+second/10, func() {})
+		if m.current(gone) || !m.current(here) {
+			t.Errorf("gone %v, here %v", m.current(gone), m.current(here))
+		}
+	})
+	t.Run("reports are given up when the mailbox is full, and the log says so", func(t *testing.T) {
+		m, said := begin(t)
+		for range m.limits.mailbox + 5 {
+			m.report(func() {})
+		}
+		said.waits(t, "event=report_dropped", 1)
+		for range m.limits.mailbox / m.limits.turn {
+			m.turn(func() {})
+		}
+		if len(m.mail) > m.limits.turn {
+			t.Errorf("%d still wait", len(m.mail))
+		}
+	})
+}
+
+func TestConfiguration(t *testing.T) {
+	good := string(configuration("127.0.0.1:9", "null"))
+	for what, change := range map[string][2]string{
+		"not JSON":                       {"{", "["},
+		"configuration: listen":          {`"listen"`, `"was"`},
+		"configuration: discovery":       {`"discovery"`, `"was"`},
+		"configuration: settings":        {`"settings"`, `"was"`},
+		"setting familyInfo.egressPerS":  {`"egressPerS":900`, `"egressPerS":"many"`},
+		"setting familyInfo.proxyCount":  {`"proxyCount":40`, `"proxyCount":-1`},
+		"setting azs":                    {`"azs":["a","b"]`, `"azs":[]`},
+		"setting profiles.1.target":      {`,"target":800`, ``},
+		"setting profiles.0.name":        {`"name":"read it"`, `"name":7`},
+		"setting rules.rampTime":         {`"rampTime"`, `"was"`},
+		"setting familyInfo.partitionsN": {`"overhead":4`, `"overhead":4,"partitionsN":64`},
+	} {
+		t.Run(what, func(t *testing.T) {
+			changed := strings.Replace(good, change[0], change[1], 1)
+			_, err := New(Place{}, []byte(changed), log.New(io.Discard, "", 0))
+			if err == nil || what != "not JSON" && !strings.Contains(err.Error(), what) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+	t.Run("the place given beats the configuration, and odd words are said", func(t *testing.T) {
+		said := newDiary()
+		odd := strings.Replace(good, `"weights":"rough"`, `"weights":"guessed"`, 1)
+		c, err := New(Place{Listen: "127.0.0.1:7", Discovery: "127.0.0.1:8"}, []byte(odd), log.New(said, "", 0))
+		if err != nil || c.listen != "127.0.0.1:7" || c.list.client.Addr != "127.0.0.1:8" || c.Cores() != 1 ||
+			c.Memory() != 192<<20 {
+			t.Errorf("got %+v, error %v", c, err)
+		}
+		said.waits(t, "guessed", 1)
+	})
+}
+
+// discovery is a stand-in that answers each call with the next text; none left, it waits as long as the call may.
+type discovery struct {
+	address string
+	answers chan string
+	asked   chan string // the query of each call
+}
+
+func discovers(t *testing.T) *discovery {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &discovery{listener.Addr().String(), make(chan string, 16), make(chan string, 1024)}
+	stop := make(chan struct{})
+	s := &fasthttp.Server{Logger: log.New(io.Discard, "", 0), Handler: func(call *fasthttp.RequestCtx) {
+		select {
+		case d.asked <- string(call.URI().QueryString()):
+		default:
+		}
+		select {
+		case text := <-d.answers:
+			switch {
+			case text == "status 500":
+				call.SetStatusCode(500)
+			case text == "silence":
+				<-stop
+			case text == "reset":
+				call.HijackSetNoResponse(true)
+				call.Hijack(func(net.Conn) {})
+			case strings.HasPrefix(text, "half"):
+				call.HijackSetNoResponse(true)
+				call.Hijack(func(c net.Conn) { fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n%s", text[4:]) })
+			default:
+				call.SetBodyString(text)
+			}
+		case <-time.After(time.Duration(call.QueryArgs().GetUintOrZero("timeout_ms")) * time.Millisecond):
+			call.SetBodyString(listing(call.QueryArgs().GetUintOrZero("since"), false))
+		case <-stop:
+		}
+	}}
+	done := make(chan struct{})
+	go func() { defer close(done); s.Serve(listener) }()
+	t.Cleanup(func() { close(stop); listener.Close(); <-done })
+	return d
+}
+
+// serves runs a controller, and ends it with the story, which must take well under 0.7 s.
+func serves(t *testing.T, discovery, known string, change func(*limits)) (address string, said *diary) {
+	t.Helper()
+	said = newDiary()
+	c, err := New(Place{}, configuration(discovery, known), log.New(said, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.limits.watch, c.limits.watchOver = 50*time.Millisecond, time.Second
+	if change != nil {
+		change(c.limits)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Serve(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		select {
+		case err := <-ended:
+			if err != nil {
+				t.Errorf("ended with %v", err)
+			}
+		case <-time.After(600 * time.Millisecond):
+			t.Error("did not end in time")
+		}
+	})
+	said.waits(t, "event=serving", 1)
+	text, _ := said.read()
+	return regexp.MustCompile(`event=serving .* listen=(\S+)`).FindStringSubmatch(text)[1], said
+}
+
+var two = listing(1, true, backendIs(0, "up"), backendIs(1, "up"))
+
+const (
+	hello   = `{"msg":"hello","node":3,"locality":"b","w":12.5,"cold":true}`
+	agent   = `{"msg":"agent","locality":"a"}`
+	probe   = `{"msg":"probe"}`
+	reports = `{"msg":"outcomes","locality":"a","endpoint":"s-0","total":9,"errors":1,"rtt":41.7,"interval":1000.0}`
+	usage   = `{"msg":"demand","node":3,"route":"write","total":9,"errors":0,"interval":1000.0}`
+)
+
+func TestSockets(t *testing.T) {
+	t.Run("a proxy joins, hears of a drain, and answers marks; a collector reports", func(t *testing.T) {
+		d := discovers(t)
+		address, said := serves(t, d.address, two, nil)
+		stranger := calls(t, address)
+		stranger.says(probe)
+		if got := string(stranger.gets()[4:]); got != `{"msg":"alive"}` {
+			t.Errorf("a probe is answered %q", got)
+		}
+		p, h := calls(t, address), newHearer("read it", "write")
+		for _, b := range framed(hello) { // in pieces
+			p.Write([]byte{b})
+		}
+		if err := h.apply(p.gets()); err != nil || len(h.picks(1)) != 2 {
+			t.Fatalf("error %v, got %+v", err, h)
+		}
+		many := slices.Concat(framed(fmt.Sprintf(`{"msg":"ack","node":3,"nonce":%d,"latency":3.1}`, h.tickets[0])),
+			framed(usage), framed(usage), framed(probe))
+		p.Write(many) // several in one go
+		if got := string(p.gets()[4:]); got != `{"msg":"alive"}` {
+			t.Errorf("a proxy's probe is answered %q", got)
+		}
+		c := calls(t, address)
+		c.says(agent)
+		c.says(reports)
+		c.says(usage)
+		c.says(probe)
+		c.gets()
+		d.answers <- listing(2, false, backendIs(0, "draining"), backendIs(4, "up"))
+		for !slices.Equal(h.picks(0), []string{"s-1", "s-4"}) {
+			if err := h.apply(p.gets()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p.Close()
+		said.waits(t, "event=left node=3", 1)
+	})
+	t.Run("nothing is answered before a backend is known", func(t *testing.T) {
+		d := discovers(t)
+		address, said := serves(t, d.address, listing(0, true), nil)
+		p := calls(t, address)
+		p.says(probe)
+		if text, _ := said.read(); strings.Contains(text, "event=ready") {
+			t.Error("ready without a backend")
+		}
+		d.answers <- two
+		p.gets()
+		said.waits(t, "event=ready", 1)
+	})
+	t.Run("odd messages are skipped, unreadable ones end the stream", func(t *testing.T) {
+		address, said := serves(t, discovers(t).address, two, nil)
+		skipped := []string{`{}`, `{"msg":7}`, `{"msg":"lease"}`, `{"msg":"ack"}`, `{"msg":"ack","node":4,"nonce":1}`,
+			`{"msg":"ack","node":3,"nonce":-1}`, `{"msg":"ack","node":3,"nonce":1e300}`, `{"msg":"ack","nonce":0.5}`,
+			`{"msg":"demand","node":9,"route":"write","total":1,"interval":1}`, hello, agent, reports,
+			`{"msg":"demand","node":3,"route":"lost","total":1,"interval":1}`, strings.Replace(hello, "3", "4", 1),
+			`{"msg":"demand","node":3,"route":"write","total":1e99,"interval":1}`,
+			`{"msg":"demand","node":3,"route":"write","total":1,"interval":-4}`,
+			`{"msg":"demand","node":"3","route":"write","total":1,"interval":1,"further":[{"x":null}]}`}
+		p := calls(t, address)
+		p.says(hello)
+		p.gets()
+		for _, text := range skipped {
+			p.says(text)
+		}
+		p.says(probe)
+		if got := string(p.gets()[4:]); got != `{"msg":"alive"}` {
+			t.Errorf("got %q", got)
+		}
+		c := calls(t, address)
+		c.says(agent)
+		for _, change := range [][2]string{{`"s-0"`, `"s-9"`}, {`"s-0"`, `8`}, {`"a"`, `"z"`}, {`9`, `-9`}, {`9`, `"9"`},
+			{`41.7`, `[]`}, {`"errors":1`, `"errors":1e9`}, {`41.7`, `41.7,"metrics":{"util":"high","queue":-1}`}, {`41.7`, `41.7,"metrics":3`}} {
+			c.says(strings.Replace(reports, change[0], change[1], 1))
+		}
+		c.says(hello)
+		c.says(probe)
+		c.gets()
+		said.waits(t, "event=skipped", 5)
+		for _, raw := range []string{"\x00\x00\x00\x00", "\x00\x10\x00\x01", "\xff\xff\xff\xff", string(framed("{")),
+			string(framed("[1]")), string(framed("null")), string(framed(strings.Repeat("[", 5000)))} {
+			q := calls(t, address)
+			q.says(strings.Replace(hello, "3", "7", 1))
+			q.gets()
+			q.Write([]byte(raw))
+			if !q.ends() {
+				t.Errorf("%.20q was taken", raw)
+			}
+		}
+		for _, text := range []string{strings.Replace(hello, "3", "40", 1), strings.Replace(hello, `"b"`, `"q"`, 1),
+			strings.Replace(agent, `"a"`, `7`, 1), strings.Repeat(" ", 20000) + hello} {
+			q := calls(t, address)
+			q.Write(framed(text))
+			if !q.ends() {
+				t.Errorf("%.40q was taken", text)
+			}
+		}
+	})
+	t.Run("strangers that say nothing are ended, and keep nobody out", func(t *testing.T) {
+		d := discovers(t)
+		address, said := serves(t, d.address, two, func(l *limits) { l.strange, l.first = 10, 200*time.Millisecond })
+		p := calls(t, address)
+		p.says(hello)
+		p.gets()
+		before := runtime.NumGoroutine()
+		var strangers []*caller
+		for range 100 {
+			strangers = append(strangers, calls(t, address))
+		}
+		q, c := calls(t, address), calls(t, address)
+		q.says(strings.Replace(hello, "3", "4", 1))
+		q.gets()
+		c.says(agent)
+		c.says(probe)
+		c.gets()
+		for _, s := range strangers {
+			if !s.ends() {
+				t.Error("a stranger stayed")
+			}
+		}
+		p.says(probe)
+		p.gets()
+		said.waits(t, "event=stranger_ended", 1)
+		for late := time.Now().Add(patience); runtime.NumGoroutine() > before+20; runtime.Gosched() {
+			if time.Now().After(late) {
+				t.Fatalf("%d goroutines before, %d after", before, runtime.NumGoroutine())
+			}
+		}
+	})
+	t.Run("a stranger that probes is not one that says nothing", func(t *testing.T) {
+		address, said := serves(t, discovers(t).address, two, func(l *limits) { l.first = time.Second })
+		p, mute := calls(t, address), calls(t, address)
+		p.says(probe)
+		p.gets()
+		if !mute.ends() {
+			t.Error("a mute one stayed")
+		}
+		p.says(hello)
+		p.gets()
+		said.waits(t, "event=joined node=3", 1)
+	})
+	t.Run("of a zone's collectors the newest stay, and beyond the budget nobody is taken", func(t *testing.T) {
+		address, _ := serves(t, discovers(t).address, two, func(l *limits) { l.lasting = 4 })
+		var all []*caller
+		for range 3 {
+			c := calls(t, address)
+			c.says(agent)
+			c.says(probe)
+			c.gets()
+			all = append(all, c)
+		}
+		if !all[0].ends() {
+			t.Error("the oldest stayed")
+		}
+		for node := range 3 {
+			p := calls(t, address)
+			p.says(strings.Replace(hello, "3", fmt.Sprint(node), 1))
+			if node < 2 {
+				p.gets()
+			} else if !p.ends() {
+				t.Error("one beyond the budget was taken")
+			}
+		}
+	})
+	t.Run("an address that cannot be had is an error", func(t *testing.T) {
+		taken, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer taken.Close()
+		c, err := New(Place{Listen: taken.Addr().String()}, configuration("127.0.0.1:9", two), log.New(io.Discard, "", 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Serve(t.Context()); err == nil || !strings.Contains(err.Error(), "listen") {
+			t.Errorf("error %v", err)
+		}
+	})
+}
+
+func TestDiscovery(t *testing.T) {
+	t.Run("while it fails what was known stays, and the watch goes on where it was", func(t *testing.T) {
+		d := discovers(t)
+		for _, bad := range []string{"status 500", "reset", "silence", "{", "[]", `{"version":9}`, "half" + two,
+			`{"version":-1,"full":true,"servers":[]}`, `{"version":3,"full":true,"servers":{}}`, listing(0, true)} {
+			d.answers <- bad
+		}
+		address, said := serves(t, d.address, two, func(l *limits) { l.retryLeast, l.retryMost, l.quiet = 1, 1, 0 })
+		for range 10 {
+			if query := <-d.asked; query != "since=1&timeout_ms=50" {
+				t.Errorf("asked %q", query)
+			}
+		}
+		p, h := calls(t, address), newHearer("read it", "write")
+		p.says(hello)
+		if err := h.apply(p.gets()); err != nil || len(h.picks(0)) != 2 {
+			t.Errorf("error %v, got %+v", err, h)
+		}
+		d.answers <- listing(2, false, backendIs(5, "up"))
+		for len(h.picks(0)) != 3 {
+			if err := h.apply(p.gets()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		said.waits(t, "event=discovery_failed", 1)
+	})
+	t.Run("one that says again and again that it knows less is taken at its word, whole", func(t *testing.T) {
+		d := discovers(t)
+		known := listing(50, true, backendIs(0, "up"))
+		for range 6 {
+			d.answers <- listing(7, true, backendIs(1, "up"))
+		}
+		_, said := serves(t, d.address, known, func(l *limits) { l.retryLeast, l.retryMost = 1, 1 })
+		said.waits(t, "event=list version=7 whole=true entries=1", 1)
+		for i := range 6 {
+			if query := <-d.asked; (query == "") != (i == 5) {
+				t.Errorf("call %d asked %q", i, query)
+			}
+		}
+	})
+	t.Run("entries that cannot be used are left out, unknown words read with care", func(t *testing.T) {
+		d := discovers(t)
+		odd := []string{`{"id":"","zone":"a","state":"up"}`, `{"id":"s-8","zone":"q","state":"up"}`, `7`, `{"zone":"a"}`,
+			`{"id":"` + strings.Repeat("x", 300) + `","zone":"a","state":"up"}`, backendIs(6, "resting"),
+			`{"id":"say \"7\"","zone":"a","state":"up","weight":"big","started_ms":-3}`}
+		address, said := serves(t, d.address, listing(1, true, append(odd, backendIs(0, "up"))...), nil)
+		p, h := calls(t, address), newHearer("read it", "write")
+		p.says(hello)
+		if err := h.apply(p.gets()); err != nil || !slices.Equal(h.picks(0), []string{"s-0", `say "7"`}) {
+			t.Errorf("error %v, got %v", err, h.picks(0))
+		}
+		said.waits(t, `state="resting" taken=draining`, 1)
+	})
+}
+
+// FuzzStream gives a peer whatever bytes, as what is said by a stranger, and then by a proxy.
+func FuzzStream(f *testing.F) {
+	f.Add(slices.Concat(framed(hello), framed(usage), framed(probe), framed(`{"msg":"ack","node":3,"nonce":1}`)))
+	f.Add(slices.Concat(framed(agent), framed(reports), framed(usage), framed("null")))
+	f.Add([]byte("\x00\x10\x00\x00{"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m := fuzzed(t)
+		for _, before := range []string{"", hello, agent} {
+			var first []byte
+			if before != "" {
+				first = framed(before)
+			}
+			p := newPeer(&told{Reader: bytes.NewReader(append(first, raw...))}, 1, m, func(*peer) error { return nil })
+			if err := p.read(); err == nil {
+				t.Fatal("bytes without an end")
+			}
+			m.turn(func() {})
+		}
+	})
+}
+
+// told is a connection that brings some bytes and ends.
+type told struct {
+	net.Conn
+	io.Reader
+}
+
+func (c *told) Read(b []byte) (int, error)      { return c.Reader.Read(b) }
+func (c *told) RemoteAddr() net.Addr            { return &net.TCPAddr{} }
+func (c *told) SetReadDeadline(time.Time) error { return nil }
+func (c *told) Close() error                    { return nil }
+
+func fuzzed(t *testing.T) *module {
+	c, err := New(Place{}, configuration("127.0.0.1:9", two), log.New(io.Discard, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.module.turn(func() {})
+	return c.module
+}
--- /dev/null
+++ b/controller/fake_test.go
@@ -0,0 +1,311 @@
+package controller
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fastjson"
+)
+
+// patience bounds what a story waits for; nothing waits for it to pass.
+const patience = 20 * time.Second
+
+// hearer is a proxy as the protocol's page describes it: it applies messages, and counts what the channel counts.
+type hearer struct {
+	classes []string
+	lines   []map[string]float64
+	levels  [][]float64 // level and manner of trying again, or nil
+	shut    map[string]bool
+	tickets []int
+	cost    int // lines of the last message
+	told    int // messages
+	inside  bool
+	parts   int
+}
+
+func newHearer(classes ...string) *hearer {
+	h := &hearer{classes: classes, shut: map[string]bool{}, levels: make([][]float64, len(classes))}
+	for range classes {
+		h.lines = append(h.lines, map[string]float64{})
+	}
+	return h
+}
+
+type push struct {
+	Msg     string
+	Classes []string
+	Whole   bool
+	Lines   [][2]any
+	Level   *float64
+	Retry   *int
+	Out     []string
+	Back    []string
+	Ticket  *int
+	More    bool
+}
+
+// apply takes frames as they leave; an error is what a proxy would reset its stream for.
+func (h *hearer) apply(raw []byte) error {
+	for len(raw) > 0 {
+		size := int(binary.BigEndian.Uint32(raw))
+		if size > 1<<20 || len(raw) < 4+size {
+			return fmt.Errorf("a frame of %d bytes in %d", size, len(raw))
+		}
+		if err := h.part(raw[4 : 4+size]); err != nil {
+			return fmt.Errorf("%w in %.200s", err, raw[4:4+size])
+		}
+		raw = raw[4+size:]
+	}
+	return nil
+}
+
+func (h *hearer) part(text []byte) error {
+	var p push
+	decode := json.NewDecoder(bytes.NewReader(text))
+	decode.DisallowUnknownFields()
+	if err := decode.Decode(&p); err != nil || p.Msg != "push" || (p.Level == nil) != (p.Retry == nil) {
+		return fmt.Errorf("not a push: %w", err)
+	}
+	if !h.inside {
+		h.cost, h.parts = 0, 0
+		h.told++
+	}
+	h.inside = p.More
+	if h.parts++; h.parts > 64 {
+		return fmt.Errorf("too many parts")
+	}
+	meant := p.Classes
+	if meant == nil {
+		meant = h.classes
+	}
+	for _, name := range meant {
+		class := slices.Index(h.classes, name)
+		if class < 0 {
+			return fmt.Errorf("unknown class %q", name)
+		}
+		if p.Whole {
+			h.lines[class], h.levels[class] = map[string]float64{}, nil
+		}
+		for _, l := range p.Lines {
+			id, weight := l[0].(string), l[1].(float64)
+			if weight < 0 {
+				return fmt.Errorf("a weight below 0")
+			}
+			h.lines[class][id] = weight
+			if weight == 0 {
+				delete(h.lines[class], id)
+			}
+		}
+		if p.Level != nil {
+			h.levels[class] = []float64{*p.Level, float64(*p.Retry)}
+		}
+	}
+	for _, id := range p.Out {
+		h.shut[id] = true
+	}
+	for _, id := range p.Back {
+		delete(h.shut, id)
+	}
+	h.cost += len(p.Lines) + len(p.Out) + len(p.Back)
+	for _, one := range []bool{p.Whole, p.Level != nil, p.Ticket != nil} {
+		if one {
+			h.cost++
+		}
+	}
+	if p.Ticket != nil {
+		h.tickets = append(h.tickets, *p.Ticket)
+	}
+	return nil
+}
+
+// picks gives the backends that the proxy can pick for a class.
+func (h *hearer) picks(class int) (ids []string) {
+	for id := range h.lines[class] {
+		if !h.shut[id] {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// hears applies what waits in a peer's mailbox.
+func (h *hearer) hears(t *testing.T, p *peer) {
+	t.Helper()
+	for {
+		select {
+		case raw := <-p.mail:
+			if err := h.apply(raw); err != nil {
+				t.Fatal(err)
+			}
+		default:
+			return
+		}
+	}
+}
+
+// diary keeps the lines of a log, and lets stories wait for one.
+type diary struct {
+	mutex sync.Mutex
+	text  strings.Builder
+	more  chan struct{}
+}
+
+func (d *diary) Write(line []byte) (int, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.text.Write(line)
+	close(d.more)
+	d.more = make(chan struct{})
+	return len(line), nil
+}
+
+func (d *diary) read() (string, chan struct{}) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.text.String(), d.more
+}
+
+// waits until a line holds some text as often as asked.
+func (d *diary) waits(t *testing.T, some string, times int) {
+	t.Helper()
+	late := time.After(patience)
+	for {
+		text, more := d.read()
+		if strings.Count(text, some) >= times {
+			return
+		}
+		select {
+		case <-more:
+		case <-late:
+			t.Fatalf("no line %q %d times in:\n%s", some, times, text)
+		}
+	}
+}
+
+func newDiary() *diary { return &diary{more: make(chan struct{})} }
+
+// settings are those of a small deployment of two classes and two zones.
+const settings = `{"azs":["a","b"],"tick":1.0,"weights":"rough","membershipMode":"automatic",
+"familyInfo":{"admission":"per_second","backlog":900,"egressPerS":900,"overhead":4,"pushDelayMax":600,"reportEvery":1000,
+"proxyCount":40,"classWrites":[false,true],"staysLocal":[false,false],"messagesMost":30,"messagesOver":10000},
+"profiles":[{"name":"read it","deadline":4000,"target":1500},{"name":"write","deadline":2000,"target":800}],
+"reporting":{"how":"silent","fields":[]},"rules":{"coldShare":0.2,"rampTime":17000,"stopSendingWithin":3000}}`
+
+func backendIs(id int, state string) string {
+	return fmt.Sprintf(`{"id":"s-%d","addr":"x","zone":"%s","state":"%s","weight":2,"started_ms":0}`,
+		id, string("ab"[id%2]), state)
+}
+
+// listing is an answer of discovery: version, whole, and entries.
+func listing(version int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, whole, strings.Join(entries, ","))
+}
+
+func configuration(discovery, known string) []byte {
+	return []byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f","known":%s,
+"limits":{"cores":1,"memory_mb":192,"sockets":200},"settings":%s}`, discovery, known, settings))
+}
+
+// begin makes a controller that nobody serves: the story takes its turns, and plays time.
+func begin(t *testing.T) (*module, *diary) {
+	t.Helper()
+	said := newDiary()
+	c, err := New(Place{}, configuration("127.0.0.1:9", listing(1, true, backendIs(0, "up"), backendIs(1, "up"))),
+		log.New(said, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := c.module.now
+	c.module.clock = func() int64 { return now }
+	c.module.turn(func() {})
+	return c.module, said
+}
+
+func parsed(t *testing.T, text string) *fastjson.Value {
+	t.Helper()
+	v, err := fastjson.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// later takes a turn after a while.
+func later(m *module, wait int64, what func()) {
+	now := m.now + wait
+	m.clock = func() int64 { return now }
+	m.turn(what)
+}
+
+// joins has a proxy join on a connection that nobody reads.
+func joins(t *testing.T, m *module, serial, node int, keeps bool) *peer {
+	here, there := net.Pipe()
+	t.Cleanup(func() { here.Close(); there.Close() })
+	p := newPeer(here, serial, m, func(*peer) error { return nil })
+	p.kind, p.node, p.zone = proxy, node, node%2
+	p.heard.Store(m.now)
+	m.turn(func() { m.joined(p, 10, keeps) })
+	return p
+}
+
+// caller is a connection to a controller, as a proxy or collector has it.
+type caller struct {
+	*testing.T
+	net.Conn
+	in *bufio.Reader
+}
+
+func calls(t *testing.T, address string) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	return &caller{t, conn, bufio.NewReader(conn)}
+}
+
+func framed(text string) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
+}
+
+func (c *caller) says(text string) {
+	c.Helper()
+	if _, err := c.Write(framed(text)); err != nil {
+		c.Fatal(err)
+	}
+}
+
+// gets reads one frame, with its length.
+func (c *caller) gets() []byte {
+	c.Helper()
+	raw := make([]byte, 4)
+	if _, err := io.ReadFull(c.in, raw); err != nil {
+		c.Fatal(err)
+	}
+	raw = append(raw, make([]byte, binary.BigEndian.Uint32(raw))...)
+	if _, err := io.ReadFull(c.in, raw[4:]); err != nil {
+		c.Fatal(err)
+	}
+	return raw
+}
+
+// ends tells whether the controller closes the connection without another word.
+func (c *caller) ends() bool {
+	_, err := c.in.ReadByte()
+	late, ok := err.(net.Error)
+	return err != nil && !(ok && late.Timeout())
+}
--- a/controller/journal.go
+++ b/controller/journal.go
@@ -8,7 +8,9 @@
 
 // journal writes lines of key=value text. Lines that strangers could call forth go through seldom.
 type journal struct {
-	to *log.Logger
+	to    *log.Logger
+	quiet time.Duration
+	sorts int
 
 	mutex sync.Mutex
 	held  map[string]*repeat
@@ -19,28 +21,24 @@
 	times int
 }
 
-const (
-	quietFor  = 10 * time.Second // a line that repeats is held back for so long
-	mostHeld  = 256              // different lines that are counted
-	anyOthers = "others"
-)
-
-func newJournal(to *log.Logger) *journal { return &journal{to: to, held: map[string]*repeat{}} }
+func newJournal(to *log.Logger, quiet time.Duration, sorts int) *journal {
+	return &journal{to: to, quiet: quiet, sorts: sorts, held: map[string]*repeat{}}
+}
 
 func (j *journal) say(format string, args ...any) { j.to.Printf(format, args...) }
 
 // seldom writes a line of a sort unless one was written lately; it says then how many were held back.
 func (j *journal) seldom(sort, format string, args ...any) {
 	j.mutex.Lock()
-	if j.held[sort] == nil && len(j.held) >= mostHeld {
-		sort = anyOthers
+	if j.held[sort] == nil && len(j.held) >= j.sorts {
+		sort = ""
 	}
 	if j.held[sort] == nil {
 		j.held[sort] = &repeat{}
 	}
 	r := j.held[sort]
 	r.times++
-	if time.Since(r.since) < quietFor {
+	if time.Since(r.since) < j.quiet {
 		j.mutex.Unlock()
 		return
 	}
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -26,6 +26,7 @@
 	mailbox    int // things that wait for the module; reports beyond this are given up
 	turn       int // things that the module takes at one clock time
 	outgoing   int // messages that wait for one peer
+	marks      int // unanswered marks that are remembered of one proxy
 	body       int // bytes of an answer of discovery
 
 	tick       time.Duration // between two clock times of the module
@@ -39,28 +40,49 @@
 	retryMost  time.Duration // ... up to this
 	older      int           // answers older than what we know before we take discovery at its word
 	silence    int64         // µs without a word, a mark unanswered as long, show a half-open stream
+	lag        int64         // the same where other proxies have answered the mark
 	quiet      time.Duration // a line of the log that repeats is held back for so long
-	end        time.Duration // for everything to stop
+	sorts      int           // different lines whose repeats are counted
 }
 
-// newLimits reckons the limits from what the process is given and from the settings that size the traffic.
-func newLimits(cores float64, memoryMB, sockets, nodes, zones int, tick int64, channel decide.Channel,
-	sight decide.Sight) limits {
-	const spare = 24 // descriptors of the runtime, the standard streams, the listener and discovery
-	l := limits{
-		cores: max(1, int(cores)), memory: int64(memoryMB) << 20, sockets: sockets, nodes: nodes,
-		perZone: 2, backends: 1 << 16, id: 256,
+// usualLimits are those that do not depend on what the process is given.
+func usualLimits() *limits {
+	return &limits{
+		cores: 1, perZone: 2, backends: 1 << 16, id: 256,
 		frame: 1 << 20, firstFrame: 16 << 10, parts: 64, keptBuffer: 64 << 10,
-		mailbox: 4096, turn: 1024, outgoing: 64, body: 16 << 20,
-		tick:  max(time.Duration(tick)*time.Microsecond, time.Millisecond),
+		mailbox: 4096, turn: 1024, outgoing: 64, marks: 256, body: 16 << 20,
 		first: 5 * time.Second, probing: time.Minute, write: 10 * time.Second,
 		dial: 500 * time.Millisecond, watch: 2 * time.Second, watchOver: time.Second,
 		retryLeast: 50 * time.Millisecond, retryMost: time.Second, older: 5,
-		silence: 2*channel.LongestWay + 3*sight.ReportEvery + time.Second.Microseconds(),
-		quiet:   10 * time.Second, end: 300 * time.Millisecond,
+		quiet: 10 * time.Second, sorts: 1024,
 	}
+}
+
+// give fits the limits to the cores, megabytes and descriptors that the process has; 0 is as many as are usual.
+func (l *limits) give(cores, memoryMB, sockets float64) {
+	const usual = 1024
+	l.cores, l.memory, l.sockets = max(1, int(cores)), int64(memoryMB)<<20, usual
+	if sockets > 0 {
+		l.sockets = int(min(sockets, 1<<20))
+	}
+}
+
+// size fits the limits to the proxies and zones that exist, after give, and to the pace of orders and reports.
+func (l *limits) size(nodes, zones int, tick int64, channel decide.Channel, sight decide.Sight) {
+	const spare = 24 // descriptors of the runtime, the standard streams, the listener and discovery
+	const least = 8  // room for strangers in any case: whoever comes is one at first
+	l.nodes = nodes
 	// Proxies twice over, as a new stream may come before the old one is seen to end.
-	l.lasting = min(2*nodes+(l.perZone+1)*zones, max(sockets-spare-8, 1))
-	l.strange = max(4, min(256, sockets-spare-l.lasting))
-	return l
+	l.lasting = min(2*nodes+(l.perZone+1)*zones, max(l.sockets-spare-least, 1))
+	l.strange = max(least, min(256, l.sockets-spare-l.lasting))
+	l.tick = max(time.Duration(tick)*time.Microsecond, time.Millisecond)
+	// A live proxy reports each period. It may stand still for two seconds, and the channel may be full.
+	const still = 2 * second
+	l.silence = 2*channel.LongestWay + 3*sight.ReportEvery + still
+	l.lag = channel.LongestWay + still
+	if channel.LinesPerS > 0 {
+		l.lag += int64(channel.Backlog / channel.LinesPerS * second)
+	}
 }
+
+const second = 1_000_000 // µs
--- a/controller/list.go
+++ b/controller/list.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -16,36 +17,69 @@
 // What was known stays while calls fail.
 type list struct {
 	client  *fasthttp.HostClient
+	asked   chan struct{} // the mailbox: a wish to be told at once
 	limits  *limits
 	log     *journal
 	take    func(whole bool, version int64, servers []*fastjson.Value)
 	version int64
 	some    bool // a version is known
 	older   int  // answers in a row that were older than that
+
+	mutex sync.Mutex
+	conn  net.Conn // to discovery, for a call to be given up
+	ended bool
 }
 
 func newList(address string, l *limits, log *journal, take func(bool, int64, []*fastjson.Value)) *list {
-	return &list{limits: l, log: log, take: take, client: &fasthttp.HostClient{
-		Addr:     address,
-		MaxConns: 2, // a call that was given up may still hold one
-		Dial: func(address string) (net.Conn, error) {
-			return net.DialTimeout("tcp", address, l.dial)
-		},
+	f := &list{limits: l, log: log, take: take, asked: make(chan struct{}, 1)}
+	f.client = &fasthttp.HostClient{
+		Addr:                address,
+		MaxConns:            1,
+		Dial:                f.dial,
 		ReadTimeout:         l.watch + l.watchOver,
 		WriteTimeout:        l.dial,
 		MaxResponseBodySize: l.body,
 		// Further tries are ours to pace, and each call must come in time or be known to have failed.
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	}
+	return f
+}
+
+func (l *list) dial(address string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, l.limits.dial)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.conn = conn; err == nil && l.ended {
+		conn.Close()
+	}
+	return conn, err
+}
+
+// hangUp gives up the call that is under way.
+func (l *list) hangUp() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.ended = true; l.conn != nil {
+		l.conn.Close()
+	}
+}
+
+// wake cuts a pause short.
+func (l *list) wake() {
+	select {
+	case l.asked <- struct{}{}:
+	default:
+	}
 }
 
 // run follows the list until the context ends.
 func (l *list) run(ctx context.Context) {
 	defer l.client.CloseIdleConnections()
+	defer context.AfterFunc(ctx, l.hangUp)()
 	pause := l.limits.retryLeast
 	for ctx.Err() == nil {
-		err := l.call(ctx)
+		err := l.watch()
 		if err == nil {
 			pause = l.limits.retryLeast
 			continue
@@ -56,24 +90,13 @@
 		l.log.seldom("discovery", "event=discovery_failed error=%q version=%d", err, l.version)
 		select {
 		case <-ctx.Done():
+		case <-l.asked:
 		case <-time.After(pause/2 + rand.N(pause/2+1)):
 		}
 		pause = min(2*pause, l.limits.retryMost)
 	}
 }
 
-// call makes one call, and is given up when the context ends.
-func (l *list) call(ctx context.Context) error {
-	answered := make(chan error, 1)
-	go func() { answered <- l.watch() }()
-	select {
-	case err := <-answered:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 var errBroken = errors.New("not a list")
 
 func (l *list) watch() error {
--- a/controller/module.go
+++ b/controller/module.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -19,29 +20,32 @@
 	log     *journal
 	control *decide.Controller
 
+	list *list
+
 	zones, classes map[string]int
 	zoneNames      []string
 	backends       map[string]int
 	names          [][]byte // ids of backends as they go onto streams
 	joins          []*join  // by proxy; nil if it is not joined
 
-	mail    chan func()
-	done    chan struct{}
-	ready   chan struct{} // closed once the decisions know a backend
-	started time.Time     // Unix time at the start, with the monotonic clock
-	now     int64
-	timers  []timer
+	mail   chan func()
+	done   chan struct{}
+	ready  chan struct{} // closed once the decisions know a backend
+	clock  func() int64
+	now    int64 // of this turn
+	timers []timer
 }
 
-// join is a proxy's stream, and since when a mark on it is unanswered.
+// join is a proxy's stream, and the marks on it that are unanswered.
 type join struct {
 	peer    *peer
-	waiting []mark
+	waiting []*mark
 }
 
+// mark is one that went out at some clock time, to however many proxies.
 type mark struct {
-	number int
-	at     int64
+	number       int
+	at, answered int64 // answered: when the first of them did
 }
 
 type timer struct {
@@ -49,8 +53,11 @@
 	tag uint64
 }
 
-// clock is Unix time in µs as it was at the start, gone on with the monotonic clock.
-func (m *module) clock() int64 { return m.started.UnixMicro() + time.Since(m.started).Microseconds() }
+// newClock gives Unix time in µs as it is now, gone on with the monotonic clock.
+func newClock() func() int64 {
+	began := time.Now()
+	return func() int64 { return began.UnixMicro() + time.Since(began).Microseconds() }
+}
 
 // post gives the module something that must not be lost; it waits while the mailbox is full.
 func (m *module) post(what func()) {
@@ -118,9 +125,15 @@
 		m.control.Elapsed(due.tag)
 	}
 	m.findSilent()
-	m.flush(func(proxy int, err error) { m.lose(proxy, err) }, func(proxy, number, _ int) {
+	var one *mark
+	m.flush(m.lose, func(proxy, number int) {
+		if one == nil {
+			one = &mark{number: number, at: m.now}
+		}
 		j := m.joins[proxy]
-		j.waiting = append(j.waiting, mark{number, m.now})
+		if j.waiting = append(j.waiting, one); len(j.waiting) > m.limits.marks {
+			j.waiting = j.waiting[1:] // it talks, but answers nothing
+		}
 	})
 }
 
@@ -142,8 +155,9 @@
 // Log writes a change of mode.
 func (m *module) Log(line string) { m.log.say("event=decision text=%q", line) }
 
-// Watch has nothing to do: the list is followed all the time, as asking costs discovery nothing here.
-func (m *module) Watch() {}
+// Watch has the list ask now, if it waits after a failed call. It is followed all the time, as asking costs
+// discovery nothing here.
+func (m *module) Watch() { m.list.wake() }
 
 // Probe is not called: on sockets no page says how backends are probed, so the decisions are told they may not.
 func (m *module) Probe(int) {}
@@ -214,11 +228,14 @@
 	for len(m.joins) <= p.node {
 		m.joins = append(m.joins, nil)
 	}
-	if old := m.joins[p.node]; old != nil {
+	if old := m.joins[p.node]; old != nil && old.peer.serial > p.serial {
+		p.end(errStale) // its first words were under way for longer than the next stream took
+		return
+	} else if old != nil {
 		m.leaves(p.node)
 		old.peer.end(errReplaced)
 	}
-	m.log.say("event=joined node=%d zone=%s usual=%.1f keeps=%v peer=%s", p.node, m.zoneName(p.zone), usual, keeps,
+	m.log.seldom(fmt.Sprint("joined ", p.node), "event=joined node=%d zone=%s usual=%.1f keeps=%v peer=%s", p.node, m.zoneName(p.zone), usual, keeps,
 		p.conn.RemoteAddr())
 	m.joins[p.node] = &join{peer: p}
 	m.join(p.node, p, keeps)
@@ -232,7 +249,7 @@
 // left takes the end of a stream, unless another has replaced it.
 func (m *module) left(p *peer) {
 	if m.current(p) {
-		m.log.say("event=left node=%d why=%q", p.node, p.why)
+		m.log.seldom(fmt.Sprint("left ", p.node), "event=left node=%d why=%q", p.node, p.why)
 		m.leaves(p.node)
 	}
 }
@@ -254,10 +271,15 @@
 
 // findSilent ends streams that are half-open. They say nothing and cannot be told from quiet ones but by marks that
 // stay unanswered, so both are asked for.
+// Where other proxies have answered the same mark, less time will do: messages leave the channel one by one.
 func (m *module) findSilent() {
 	for node, j := range m.joins {
-		if j != nil && len(j.waiting) > 0 && m.now-j.waiting[0].at > m.limits.silence &&
-			m.now-j.peer.heard.Load() > m.limits.silence {
+		if j == nil || len(j.waiting) == 0 {
+			continue
+		}
+		oldest, unheard := j.waiting[0], m.now-j.peer.heard.Load()
+		if min(m.now-oldest.at, unheard) > m.limits.silence ||
+			oldest.answered > 0 && min(m.now-oldest.answered, unheard) > m.limits.lag {
 			m.lose(node, errSilent)
 		}
 	}
@@ -269,11 +291,14 @@
 		return
 	}
 	j := m.joins[p.node]
-	at := slices.IndexFunc(j.waiting, func(w mark) bool { return w.number == number })
+	at := slices.IndexFunc(j.waiting, func(w *mark) bool { return w.number == number })
 	if at < 0 {
 		m.log.seldom("mark", "event=mark_unknown node=%d mark=%d", p.node, number)
 		return
 	}
+	if j.waiting[at].answered == 0 {
+		j.waiting[at].answered = m.now
+	}
 	j.waiting = slices.Delete(j.waiting, 0, at+1)
 	m.control.Applied(p.node, number)
 }
--- a/controller/peer.go
+++ b/controller/peer.go
@@ -24,6 +24,8 @@
 	errReplaced   = errors.New("a newer connection took its place")
 	errSilent     = errors.New("it is silent and leaves marks unanswered")
 	errRefused    = errors.New("it cannot be taken")
+	errBudget     = errors.New("no socket is left for it")
+	errStale      = errors.New("a newer connection came before it spoke")
 )
 
 // kind is what a connection has said that it is.
@@ -44,9 +46,11 @@
 	limits *limits
 	module *module
 	log    *journal
-	known  func(p *peer) // told when it has said who it is
+	known  func(p *peer) error // told when it has said who it is; it may be one too many
+	serial int                 // in the order in which connections came
 
-	kind   kind // set by the reader before known
+	body   *bytes.Buffer // the message being read
+	kind   kind          // set by the reader before known
 	zone   int
 	node   int
 	probed bool
@@ -58,8 +62,8 @@
 	heard atomic.Int64 // module's clock when something whole last came
 }
 
-func newPeer(conn net.Conn, m *module, known func(*peer)) *peer {
-	return &peer{conn: conn, limits: m.limits, module: m, log: m.log, known: known, node: -1, zone: -1,
+func newPeer(conn net.Conn, serial int, m *module, known func(*peer) error) *peer {
+	return &peer{conn: conn, serial: serial, limits: m.limits, module: m, log: m.log, known: known, node: -1, zone: -1,
 		mail: make(chan []byte, m.limits.outgoing), ended: make(chan struct{})}
 }
 
@@ -122,7 +126,8 @@
 // read decodes messages until the connection ends. What is no JSON object cannot be read, and a stream that goes on
 // with such counts as left already; a message that merely makes no sense is skipped.
 func (p *peer) read() error {
-	in, body, parser := bufio.NewReader(p.conn), &bytes.Buffer{}, &fastjson.Parser{}
+	in, parser := bufio.NewReader(p.conn), &fastjson.Parser{}
+	p.body = &bytes.Buffer{}
 	for {
 		most, patience := p.limits.frame, time.Time{}
 		if p.kind == stranger {
@@ -132,13 +137,13 @@
 			}
 		}
 		p.conn.SetReadDeadline(patience)
-		if err := readFrame(in, body, most); err != nil {
+		if err := readFrame(in, p.body, most); err != nil {
 			if p.kind == stranger && !p.probed && errors.Is(err, errTimeout) {
 				return errStranger
 			}
 			return err
 		}
-		message, err := parser.ParseBytes(body.Bytes())
+		message, err := parser.ParseBytes(p.body.Bytes())
 		if err != nil || message.Type() != fastjson.TypeObject {
 			return fmt.Errorf("a message that is no JSON object: %w", errUnreadable)
 		}
@@ -146,8 +151,8 @@
 		if err := p.take(message); err != nil {
 			return err
 		}
-		if body.Cap() > p.limits.keptBuffer {
-			body, parser = &bytes.Buffer{}, &fastjson.Parser{}
+		if p.body.Cap() > p.limits.keptBuffer {
+			p.body, parser = &bytes.Buffer{}, &fastjson.Parser{}
 		}
 	}
 }
@@ -170,16 +175,17 @@
 	case word == "demand" && p.kind != stranger:
 		p.demand(m)
 	default:
-		p.skip(m, "not expected of a "+p.kind.String())
+		p.skip("not expected of a " + p.kind.String())
 	}
 	return nil
 }
 
 // skip notes a message that is passed over, with some of its text.
-func (p *peer) skip(m *fastjson.Value, why string) {
-	text := m.MarshalTo(nil)
+func (p *peer) skip(why string) {
+	const shown = 160
+	text := p.body.Bytes()
 	p.log.seldom("skipped "+why, "event=skipped peer=%s kind=%s why=%q message=%q",
-		p.conn.RemoteAddr(), p.kind, why, text[:min(len(text), 160)])
+		p.conn.RemoteAddr(), p.kind, why, text[:min(len(text), shown)])
 }
 
 // figureAt reads a figure; one that is missing, not a number, without end or below 0 is not usable.
@@ -216,32 +222,34 @@
 	zone, ok := p.zoneAt(m)
 	switch {
 	case p.kind != stranger:
-		p.skip(m, "it has said who it is")
+		p.skip("it has said who it is")
 	case !ok:
-		p.skip(m, "unknown zone")
+		p.skip("unknown zone")
 		return errRefused
 	default:
 		p.kind, p.zone = collector, zone
-		p.known(p)
+		return p.known(p)
 	}
 	return nil
 }
 
 func (p *peer) hello(m *fastjson.Value) error {
 	if p.kind != stranger {
-		p.skip(m, "it has said who it is") // ending a joined proxy's stream would not count as its leaving
+		p.skip("it has said who it is") // ending a joined proxy's stream would not count as its leaving
 		return nil
 	}
 	node, ok := indexAt(m, "node", p.limits.nodes)
 	zone, there := p.zoneAt(m)
 	if !ok || !there {
-		p.skip(m, "unknown proxy or zone")
+		p.skip("unknown proxy or zone")
 		return errRefused
 	}
 	usual, _ := figureAt(m, "w")
 	keeps := !m.GetBool("cold") // if nothing is said it may hold something
 	p.kind, p.node, p.zone = proxy, node, zone
-	p.known(p)
+	if err := p.known(p); err != nil {
+		return err
+	}
 	p.module.post(func() { p.module.joined(p, usual, keeps) })
 	return nil
 }
@@ -249,7 +257,7 @@
 func (p *peer) ack(m *fastjson.Value) {
 	mark, ok := indexAt(m, "nonce", 1<<16)
 	if node, same := indexAt(m, "node", p.limits.nodes); !ok || same && node != p.node {
-		p.skip(m, "no usable mark")
+		p.skip("no usable mark")
 		return
 	}
 	p.module.post(func() { p.module.applied(p, mark) })
@@ -263,7 +271,7 @@
 	mean, timed := figureAt(m, "rtt")
 	failed = min(failed, tries)
 	if _, there := p.zoneAt(m); !ok || !counted || !there || id == "" || !timed && failed < tries {
-		p.skip(m, "outcomes without usable figures")
+		p.skip("outcomes without usable figures")
 		return
 	}
 	load := decide.Load{Busy: -1, Waiting: -1, Service: -1}
@@ -286,7 +294,7 @@
 	count, counted := countAt(m, "total")
 	span, timed := figureAt(m, "interval")
 	if !ok || !there || !counted || !timed || p.kind == proxy && node != p.node {
-		p.skip(m, "demand without usable figures")
+		p.skip("demand without usable figures")
 		return
 	}
 	p.module.report(func() { p.module.came(node, class, count, start.Micros(span)) })
--- a/controller/server.go
+++ b/controller/server.go
@@ -22,6 +22,7 @@
 	mutex     sync.Mutex
 	strangers []*peer // the oldest first
 	known     []*peer
+	came      int
 	peers     sync.WaitGroup
 }
 
@@ -46,7 +47,8 @@
 			}
 			continue
 		}
-		p := newPeer(conn, s.module, s.identified)
+		s.came++
+		p := newPeer(conn, s.came, s.module, s.identified)
 		s.mutex.Lock()
 		s.strangers = append(s.strangers, p)
 		s.mutex.Unlock()
@@ -71,27 +73,23 @@
 
 // identified moves a peer to those that have said who they are. A collector too many of a zone takes the place of the
 // oldest, which may be half-open; beyond the budget the newcomer is the one to go.
-func (s *server) identified(p *peer) {
+func (s *server) identified(p *peer) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.strangers = without(s.strangers, p)
 	if len(s.known) >= s.limits.lasting {
-		s.log.seldom("budget", "event=refused peer=%s kind=%s why=%q", p.conn.RemoteAddr(), p.kind, "socket budget")
-		p.end(errRefused)
-		return
+		return errBudget
 	}
 	s.known = append(s.known, p)
-	if p.kind != collector {
-		return
-	}
 	same := 0
 	for i := len(s.known) - 1; i >= 0; i-- {
-		if other := s.known[i]; other.kind == collector && other.zone == p.zone {
+		if other := s.known[i]; p.kind == collector && other.kind == collector && other.zone == p.zone {
 			if same++; same > s.limits.perZone {
 				other.end(errReplaced)
 			}
 		}
 	}
+	return nil
 }
 
 func (s *server) forget(p *peer) {
--- a/controller/tables.go
+++ b/controller/tables.go
@@ -19,7 +19,6 @@
 	out     []bool  // withdrawn, by backend
 	streams []*stream
 
-	turned         []int // backends withdrawn or let back at this time
 	mark           int
 	marked, toEach bool
 }
@@ -53,6 +52,7 @@
 	bound   []int // table by class, or unbound
 	due     uint16
 	touched bool
+	turned  []int   // backends withdrawn or let back since its last message, where that concerns it
 	levels  []level // as last written, by class
 	held    []holding
 	keeps   bool // it may have come with backends shut out by others
@@ -132,8 +132,14 @@
 		t.out = append(t.out, false)
 	}
 	t.out[backend] = out
-	t.turned = append(t.turned, backend)
-	t.touch(func(s *stream) bool { return t.concerns(s, backend) })
+	t.touch(func(s *stream) bool {
+		// Tables that are not ours may have it.
+		concerned := slices.Contains(s.bound, unbound) || t.uses(s, backend)
+		if concerned {
+			s.turned = append(s.turned, backend)
+		}
+		return concerned
+	})
 }
 
 // Admit sets a level of a table, or of all. The lower one stands, and the table's own manner of trying again.
@@ -181,20 +187,15 @@
 	return 0
 }
 
-// concerns tells whether a withdrawal of a backend goes to a proxy: tables that are not ours may have it.
-func (t *tables) concerns(s *stream, backend int) bool {
-	return slices.Contains(s.bound, unbound) || t.uses(s, backend)
-}
-
 // flush writes what was ordered since the last one and hands each message over, in the order of the proxies. A proxy
 // whose message could not be handed over is given to lost.
-func (t *tables) flush(lost func(proxy int, err error), sent func(proxy int, mark int, lines int)) {
+func (t *tables) flush(lost func(proxy int, err error), marked func(proxy, mark int)) {
 	for proxy, s := range t.streams {
 		if s == nil || !s.touched && !(t.marked && t.toEach) {
 			continue
 		}
 		s.touched = false
-		message, lines, err := t.message(s)
+		message, _, err := t.message(s)
 		if err == nil {
 			err = s.peer.send(message)
 		}
@@ -203,13 +204,13 @@
 			continue
 		}
 		if t.marked {
-			sent(proxy, t.mark, lines)
+			marked(proxy, t.mark)
 		}
 	}
 	for _, in := range t.laid {
 		in.changed = in.changed[:0]
 	}
-	t.turned, t.marked, t.toEach = t.turned[:0], false, false
+	t.marked, t.toEach = false, false
 }
 
 // message encodes what one proxy must be told, and notes it as written.
@@ -312,7 +313,8 @@
 		most = max(most, len(in.weights))
 	}
 	for b := range most {
-		if !t.uses(s, b) && !(slices.Contains(t.turned, b) && t.concerns(s, b)) {
+		unsure := slices.Contains(s.bound, unbound) && slices.Contains(s.turned, b)
+		if !unsure && !t.uses(s, b) {
 			continue
 		}
 		for len(s.held) <= b {
@@ -329,6 +331,7 @@
 			back, s.held[b] = append(back, t.name(b)), clear
 		}
 	}
+	s.turned = s.turned[:0]
 	o.backends("out", out)
 	o.backends("back", back)
 }
--- /dev/null
+++ b/controller/tables_test.go
@@ -0,0 +1,344 @@
+package controller
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"wheelrill/decide"
+)
+
+func name(b int) []byte { return fmt.Appendf(nil, `"s-%d"`, b) }
+
+func someTables(classes int) *tables {
+	names := [][]byte{}
+	for i := range classes {
+		names = append(names, fmt.Appendf(nil, `"c%d"`, i))
+	}
+	return newTables(names, name, 1<<20, 64)
+}
+
+// heard is a proxy joined to tables, with the peer that its messages go through.
+func heard(t *tables, proxy int, keeps bool) (*hearer, *peer) {
+	p := &peer{mail: make(chan []byte, 64), ended: make(chan struct{})}
+	t.join(proxy, p, keeps)
+	h := newHearer()
+	for i := range t.classes {
+		h.classes = append(h.classes, fmt.Sprintf("c%d", i))
+		h.lines, h.levels = append(h.lines, map[string]float64{}), append(h.levels, nil)
+	}
+	return h, p
+}
+
+func (t *tables) writes(test *testing.T) {
+	test.Helper()
+	t.flush(func(proxy int, err error) { test.Errorf("proxy %d lost: %v", proxy, err) }, func(int, int) {})
+}
+
+func TestOrders(t *testing.T) {
+	t.Run("a bind writes the whole table and its levels, later changes reach exactly the bound", func(t *testing.T) {
+		to := someTables(2)
+		one, p := heard(to, 0, false)
+		other, q := heard(to, 5, false)
+		to.SetLine(0, 0, 2)
+		to.SetLine(0, 1, 0.5)
+		to.Admit(0, 1, 7, decide.TryOnce)
+		to.Bind(0, 0, 0)
+		to.Mark(3, false)
+		to.writes(t)
+		one.hears(t, p)
+		want := map[string]float64{"s-0": 2, "s-1": 0.5}
+		if !maps.Equal(one.lines[0], want) || !maps.Equal(one.lines[1], want) || one.levels[0][0] != 7 ||
+			one.levels[1] != nil || !slices.Equal(one.tickets, []int{3}) || one.told != 1 || one.cost != 5 {
+			t.Errorf("got %+v", one)
+		}
+		to.SetLine(0, 1, 0)
+		to.Bind(0, 9, 0) // never joined
+		to.Mark(4, false)
+		to.writes(t)
+		one.hears(t, p)
+		other.hears(t, q)
+		if len(one.lines[0]) != 1 || one.cost != 2 || other.told != 0 || one.levels[0] == nil {
+			t.Errorf("got %+v and %+v", one, other)
+		}
+		to.Mark(5, true)
+		to.writes(t)
+		one.hears(t, p)
+		other.hears(t, q)
+		if !slices.Equal(one.tickets, []int{3, 4, 5}) || !slices.Equal(other.tickets, []int{5}) || one.cost != 1 {
+			t.Errorf("a mark for everyone: %v and %v", one.tickets, other.tickets)
+		}
+	})
+	t.Run("of a level for all and one of a table the lower stands, with the table's manner", func(t *testing.T) {
+		to := someTables(2)
+		one, p := heard(to, 0, false)
+		to.SetLine(4, 0, 1)
+		to.Admit(4, 2, 20, decide.TryTwiceAfterFailure)
+		to.Admit(decide.AllTables, 0, 9, decide.TryOnce)
+		to.Bind(4, 0, 0)
+		to.writes(t)
+		one.hears(t, p)
+		if !slices.Equal(one.levels[0], []float64{9, 0}) || !slices.Equal(one.levels[1], []float64{9, 3}) {
+			t.Errorf("levels %v", one.levels)
+		}
+		to.Admit(decide.AllTables, 2, 0.25, decide.TryAfterProof)
+		late, q := heard(to, 1, true) // joins now: it hears of both with its first message
+		to.writes(t)
+		one.hears(t, p)
+		late.hears(t, q)
+		if !slices.Equal(one.levels[1], []float64{0.25, 3}) || one.cost != 1 || late.told != 0 {
+			t.Errorf("levels %v at %d lines, told %d", one.levels, one.cost, late.told)
+		}
+		to.Bind(4, 1, 2)
+		to.writes(t)
+		late.hears(t, q)
+		if !slices.Equal(late.levels[0], []float64{9, 0}) || !slices.Equal(late.levels[1], []float64{0.25, 3}) {
+			t.Errorf("levels %v", late.levels)
+		}
+	})
+	t.Run("tables by class go as parts of one message", func(t *testing.T) {
+		to := someTables(3)
+		one, p := heard(to, 0, false)
+		to.SetLine(0, 0, 1)
+		to.SetLine(2, 1, 3)
+		to.Bind(0, 0, 5)
+		to.Bind(2, 0, 2)
+		to.Mark(1, false)
+		to.writes(t)
+		one.hears(t, p)
+		if one.told != 1 || one.parts != 2 || one.cost != 5 || len(one.lines[2]) != 1 || one.lines[1]["s-1"] != 3 {
+			t.Errorf("got %+v", one)
+		}
+		to.Admit(0, 1, 5, decide.TryOnce)
+		to.Admit(2, 0, 6, decide.TryOnce)
+		to.writes(t)
+		if one.hears(t, p); one.told != 2 || one.levels[0][0] != 5 || one.levels[1][0] != 6 || one.levels[2] != nil {
+			t.Errorf("got %+v", one)
+		}
+	})
+	t.Run("what a proxy came with shut out is let back with the first line for it", func(t *testing.T) {
+		to := someTables(1)
+		one, p := heard(to, 0, true)
+		for _, b := range []string{"s-0", "s-1", "s-2", "s-3"} {
+			one.shut[b] = true
+		}
+		to.SetLine(0, 0, 1)
+		to.SetLine(0, 1, 1)
+		to.Withdraw(1, true)
+		to.Bind(0, 0, 0)
+		to.writes(t)
+		if one.hears(t, p); !slices.Equal(one.picks(0), []string{"s-0"}) || one.cost != 5 {
+			t.Errorf("picks %v of %v at %d lines", one.picks(0), one.lines, one.cost)
+		}
+		to.SetLine(0, 2, 1)
+		to.writes(t)
+		if one.hears(t, p); !slices.Equal(one.picks(0), []string{"s-0", "s-2"}) || one.cost != 2 {
+			t.Errorf("picks %v at %d lines", one.picks(0), one.cost)
+		}
+		to.Withdraw(1, false)
+		to.SetLine(0, 2, 2)
+		to.writes(t)
+		if one.hears(t, p); !slices.Equal(one.picks(0), []string{"s-0", "s-1", "s-2"}) || one.cost != 2 {
+			t.Errorf("picks %v at %d lines", one.picks(0), one.cost)
+		}
+	})
+	t.Run("a withdrawal reaches joined proxies whose tables we do not know, later ones not", func(t *testing.T) {
+		to := someTables(1)
+		one, p := heard(to, 0, false)
+		to.SetLine(0, 0, 1)
+		to.Withdraw(7, true)
+		late, q := heard(to, 1, false)
+		to.writes(t)
+		if one.hears(t, p); !one.shut["s-7"] || one.cost != 1 {
+			t.Errorf("got %+v", one)
+		}
+		late.hears(t, q)
+		again, r := heard(to, 2, false)
+		to.Admit(decide.AllTables, 0, 3, decide.TryOnce)
+		to.writes(t)
+		if again.hears(t, r); again.shut["s-7"] || again.levels[0][0] != 3 {
+			t.Errorf("got %+v", again)
+		}
+		to.leave(0)
+		to.Withdraw(7, false)
+		to.writes(t)
+		if late.hears(t, q); late.shut["s-7"] {
+			t.Errorf("got %+v", late)
+		}
+	})
+	t.Run("a long table is cut into parts, and one that has too many is not written", func(t *testing.T) {
+		to := someTables(1)
+		to.frame = 200
+		one, p := heard(to, 0, true)
+		for b := range 100 {
+			to.SetLine(0, b, 1.5)
+		}
+		to.Bind(0, 0, 0)
+		to.Mark(8, false)
+		to.writes(t)
+		if one.hears(t, p); one.told != 1 || one.parts < 10 || len(one.picks(0)) != 100 || one.cost != 202 ||
+			!slices.Equal(one.tickets, []int{8}) {
+			t.Errorf("told %d in %d parts, %d lines, %d picks", one.told, one.parts, one.cost, len(one.picks(0)))
+		}
+		to.frame = 60
+		to.Bind(0, 0, 0)
+		lost := 0
+		to.flush(func(int, error) { lost++ }, func(int, int) {})
+		if lost != 1 || len(p.mail) != 0 {
+			t.Errorf("lost %d, %d messages wait", lost, len(p.mail))
+		}
+	})
+	t.Run("figures that no proxy can use are not written", func(t *testing.T) {
+		to := someTables(1)
+		one, p := heard(to, 0, false)
+		for b, weight := range []float64{math.NaN(), -1, math.Inf(1), 1e-300, 1e21} {
+			to.SetLine(0, b, weight)
+		}
+		to.Admit(0, 0, math.Inf(1), decide.TryOnce)
+		to.Bind(0, 0, 0)
+		to.writes(t)
+		if one.hears(t, p); len(one.lines[0]) != 3 || one.levels[0][0] > math.MaxFloat32 {
+			t.Errorf("got %+v", one)
+		}
+	})
+	t.Run("a proxy that does not take its messages is lost, the others hear on", func(t *testing.T) {
+		to := someTables(1)
+		_, full := heard(to, 0, false)
+		one, p := heard(to, 1, false)
+		full.mail = make(chan []byte)
+		to.Mark(1, true)
+		lost := []string{}
+		to.flush(func(proxy int, err error) { lost = append(lost, fmt.Sprint(proxy, " ", err)) }, func(int, int) {})
+		if one.hears(t, p); strings.Join(lost, ",") != fmt.Sprint("0 ", errFull) || one.told != 1 {
+			t.Errorf("lost %v, told %d", lost, one.told)
+		}
+	})
+}
+
+// meant is what a proxy holds after orders with the meaning that they have on the simulator's wire.
+type meant struct {
+	joined bool
+	bound  []int
+	shut   map[int]bool // while it is not bound
+}
+
+// TestMeaning plays orders by chance to tables, and to a plain account of what they mean, and compares all proxies
+// after each message: lines, levels and what can be picked, whatever the proxies came with.
+func TestMeaning(t *testing.T) {
+	const classes, proxies, backends, numbers = 3, 4, 6, 3
+	for seed := range uint64(200) {
+		dice := rand.New(rand.NewPCG(seed, 1))
+		to := someTables(classes)
+		lines, out := [numbers]map[int]float64{}, map[int]bool{}
+		var all [classes]level
+		var levels [numbers][classes]level
+		for i := range lines {
+			lines[i] = map[int]float64{}
+		}
+		wanted, hearers, peers := [proxies]*meant{}, [proxies]*hearer{}, [proxies]*peer{}
+		for range 60 {
+			for range 1 + dice.IntN(4) {
+				p, b, table := dice.IntN(proxies), dice.IntN(backends), dice.IntN(numbers)
+				mask := uint16(dice.IntN(1 << classes))
+				in := func(class int) bool { return mask == 0 || mask&(1<<class) != 0 }
+				weight := float64(dice.IntN(3))
+				switch dice.IntN(8) {
+				case 0:
+					keeps := dice.IntN(2) == 0
+					hearers[p], peers[p] = heard(to, p, keeps)
+					wanted[p] = &meant{joined: true, bound: slices.Repeat([]int{unbound}, classes), shut: map[int]bool{}}
+					for other := range backends {
+						hearers[p].lines[other%classes][fmt.Sprint("s-", other)] = 1
+						if keeps && dice.IntN(2) == 0 {
+							hearers[p].shut[fmt.Sprint("s-", other)], wanted[p].shut[other] = true, true
+						}
+					}
+				case 1:
+					if wanted[p] != nil {
+						for class := range classes { // all, to one table or several
+							number := (table + class*dice.IntN(2)) % numbers
+							to.Bind(number, p, 1<<class)
+							wanted[p].bound[class] = number
+						}
+					}
+				case 2, 3:
+					to.SetLine(table, b, weight)
+					lines[table][b] = weight
+				case 4:
+					to.Withdraw(b, weight == 0)
+					out[b] = weight == 0
+					for _, w := range wanted {
+						if w != nil {
+							w.shut[b] = weight == 0
+						}
+					}
+				case 5:
+					to.Admit(table, mask, weight, decide.Tries(table))
+					for class := range classes {
+						if in(class) {
+							levels[table][class] = level{true, weight, decide.Tries(table)}
+						}
+					}
+				case 6:
+					to.Admit(decide.AllTables, mask, weight+0.5, decide.TryOnce)
+					for class := range classes {
+						if in(class) {
+							all[class] = level{true, weight + 0.5, decide.TryOnce}
+						}
+					}
+				case 7:
+					if wanted[p] != nil {
+						to.leave(p)
+						wanted[p] = nil
+					}
+				}
+			}
+			to.Mark(1, false)
+			to.writes(t)
+			for p, w := range wanted {
+				if w == nil {
+					continue
+				}
+				h := hearers[p]
+				h.hears(t, peers[p])
+				for class, number := range w.bound {
+					picks, now := []string{}, all[class]
+					if number != unbound {
+						for b, weight := range lines[number] {
+							if weight > 0 && !out[b] {
+								picks = append(picks, fmt.Sprint("s-", b))
+							}
+							if got := h.lines[class][fmt.Sprint("s-", b)]; got != weight {
+								t.Fatalf("seed %d proxy %d class %d: backend %d has %v, want %v", seed, p, class, b, got, weight)
+							}
+						}
+						if own := levels[number][class]; own.set {
+							if now.set {
+								own.allowance = min(own.allowance, now.allowance)
+							}
+							now = own
+						}
+					} else {
+						for b := class; b < backends; b += classes {
+							if !w.shut[b] {
+								picks = append(picks, fmt.Sprint("s-", b))
+							}
+						}
+					}
+					slices.Sort(picks)
+					if got := h.picks(class); !slices.Equal(got, picks) {
+						t.Fatalf("seed %d proxy %d class %d in table %d: picks %v, want %v", seed, p, class, number, got, picks)
+					}
+					if number != unbound && now.set != (h.levels[class] != nil) || number != unbound && now.set &&
+						!slices.Equal(h.levels[class], []float64{now.allowance, float64(now.tries)}) {
+						t.Fatalf("seed %d proxy %d class %d: levels %v, want %+v", seed, p, class, h.levels[class], now)
+					}
+				}
+			}
+		}
+	}
+}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -335,6 +335,29 @@
 }
 
 func TestChannel(t *testing.T) {
+	t.Run("a proxy that may keep withdrawals of others costs a line more for each backend's first line", func(t *testing.T) {
+		cost := map[bool][]float64{}
+		for _, keeps := range []bool{false, true} {
+			s := begin(t, usual(), 5, 0)
+			s.c.Joined(0, 0, 10, keeps)
+			bind := s.c.channel.lines
+			s.c.Applied(0, s.mark)
+			s.now += 3 * second
+			s.lists(5, 7, Ready, 0) // new ones enter, and one is dropped
+			s.c.Listed(false, []Entry{{Backend: 0, Condition: Gone, Weight: 2}})
+			s.plays(2.2, nil)
+			s.c.Left(0)
+			s.c.Joined(1, 0, 10, keeps)
+			before := s.c.channel.lines
+			s.now += 3 * second
+			s.lists(7, 8, Ready, 0)
+			s.c.publish(s.now, true)
+			cost[keeps] = []float64{bind, s.c.channel.lines - before}
+		}
+		if cost[true][0] != cost[false][0]+5 || cost[true][1] != cost[false][1]+1 {
+			t.Errorf("lines counted: %v", cost)
+		}
+	})
 	t.Run("whole tables wait while half the backlog is in use, and until marks come back", func(t *testing.T) {
 		s := begin(t, usual(), 30, 0)
 		for p := range 28 {
