--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Build, test, lint and run, with the commands that CI uses.
+
+.PHONY: build test lint run fuzz
+
+build:
+	$(shell sed -n 's/^build = "\(.*\)".*/\1/p' deploy/balancer.toml)
+
+test:
+	$(shell sed -n 's/^    \(go test .*\)$$/\1/p' README.md)
+
+lint:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not gofmt-clean: $$unformatted" >&2; exit 1; fi
+	go vet ./...
+
+run: build
+	LB_CONFIG=deploy/sample.json bin/wheelrill
+
+fuzz:
+	go test -fuzz=FuzzStream -fuzztime=30s ./controller
+	go test -fuzz=FuzzFrames -fuzztime=30s ./internal/benchwire
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -394,6 +395,22 @@
 			}
 		}
 	})
+	t.Run("without a descriptor left the oldest stranger makes room", func(t *testing.T) {
+		m, said := begin(t)
+		ctx, stop := context.WithCancel(t.Context())
+		here, there := net.Pipe()
+		defer here.Close()
+		short := &shortOf{Listener: &net.TCPListener{}, conns: []net.Conn{there, nil, nil}, done: ctx.Done()}
+		ended := make(chan error)
+		s := &server{limits: m.limits, module: m, log: m.log}
+		go func() { ended <- s.run(ctx, short) }()
+		said.waits(t, "event=accept_failed", 1)
+		said.waits(t, "event=stranger_ended", 1)
+		stop()
+		if err := <-ended; err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	})
 	t.Run("an address that cannot be had is an error", func(t *testing.T) {
 		taken, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -486,6 +503,27 @@
 	})
 }
 
+// shortOf is a listener that hands out connections, or for nil an error, and then waits.
+type shortOf struct {
+	net.Listener
+	conns []net.Conn
+	done  <-chan struct{}
+}
+
+func (s *shortOf) Close() error { return nil }
+
+func (s *shortOf) Accept() (net.Conn, error) {
+	if len(s.conns) == 0 {
+		<-s.done
+		return nil, net.ErrClosed
+	}
+	conn := s.conns[0]
+	if s.conns = s.conns[1:]; conn == nil {
+		return nil, syscall.EMFILE
+	}
+	return conn, nil
+}
+
 // told is a connection that brings some bytes and ends.
 type told struct {
 	net.Conn
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -14,8 +14,9 @@
 	sockets  int   // descriptors the process may hold
 	nodes    int   // proxies that exist
 	perZone  int   // collectors of a zone that are kept; the oldest goes
-	strange  int   // connections that have not said who they are; the oldest goes
-	lasting  int   // connections that have
+	conns    int   // connections; the oldest of those that have not said who they are goes
+	strange  int   // of those, at most
+	lasting  int   // of those that have said who they are, at most
 	backends int   // different backends that a list may name in a life
 	id       int   // bytes of a backend's id
 
@@ -73,8 +74,9 @@
 	const least = 8  // room for strangers in any case: whoever comes is one at first
 	l.nodes = nodes
 	// Proxies twice over, as a new stream may come before the old one is seen to end.
-	l.lasting = min(2*nodes+(l.perZone+1)*zones, max(l.sockets-spare-least, 1))
-	l.strange = max(least, min(256, l.sockets-spare-l.lasting))
+	l.conns = max(l.sockets-spare, least+1)
+	l.lasting = min(2*nodes+(l.perZone+1)*zones, l.conns-least)
+	l.strange = max(256, nodes+zones) // after a restart all come at once, and each is a stranger at first
 	l.tick = max(time.Duration(tick)*time.Microsecond, time.Millisecond)
 	// A live proxy reports each period. It may stand still for two seconds, and the channel may be full.
 	const still = 2 * second
--- a/controller/module.go
+++ b/controller/module.go
@@ -152,8 +152,14 @@
 	m.timers = slices.Insert(m.timers, at, t)
 }
 
-// Log writes a change of mode.
-func (m *module) Log(line string) { m.log.say("event=decision text=%q", line) }
+// Log writes a change of mode, with the id of the backend that it is about as staff know it.
+func (m *module) Log(backend int, line string) {
+	if backend < 0 {
+		m.log.say("event=decision text=%q", line)
+		return
+	}
+	m.log.say("event=decision backend=%s text=%q", m.names[backend], line)
+}
 
 // Watch has the list ask now, if it waits after a failed call. It is followed all the time, as asking costs
 // discovery nothing here.
@@ -215,7 +221,6 @@
 		backend = len(m.names)
 		m.backends[string(id)] = backend
 		m.names = append(m.names, server.Get("id").MarshalTo(nil))
-		m.log.say("event=backend index=%d id=%s zone=%s", backend, id, m.zoneNames[zone])
 	}
 	weight, _ := figureAt(server, "weight")
 	began, _ := figureAt(server, "started_ms")
--- a/controller/server.go
+++ b/controller/server.go
@@ -40,7 +40,7 @@
 			return fmt.Errorf("accept: %w", err)
 		case err != nil: // no descriptor left, or the caller has gone again
 			s.log.seldom("accept", "event=accept_failed error=%q", err)
-			s.makeRoom(0)
+			s.makeRoom(1)
 			select {
 			case <-ctx.Done():
 			case <-time.After(s.limits.tick):
@@ -52,7 +52,7 @@
 		s.mutex.Lock()
 		s.strangers = append(s.strangers, p)
 		s.mutex.Unlock()
-		s.makeRoom(s.limits.strange)
+		s.makeRoom(0)
 		s.peers.Go(func() {
 			p.run()
 			s.forget(p)
@@ -60,11 +60,15 @@
 	}
 }
 
-// makeRoom ends the oldest of those that have not said who they are, until as many are left, or one at least.
-func (s *server) makeRoom(most int) {
+// makeRoom ends the oldest of those that have not said who they are while there are too many, or a few at least.
+func (s *server) makeRoom(least int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for ended := 0; len(s.strangers) > most && (most > 0 || ended == 0); ended++ {
+	for ; len(s.strangers) > 0; least-- {
+		l := s.limits
+		if least <= 0 && len(s.strangers) <= l.strange && len(s.strangers)+len(s.known) <= l.conns {
+			return
+		}
 		oldest := s.strangers[0]
 		s.strangers = s.strangers[1:]
 		oldest.end(errStranger)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -133,7 +133,7 @@
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
-func (c *Controller) logf(format string, args ...any) { c.host.Log(fmt.Sprintf(format, args...)) }
+func (c *Controller) logf(id int, f string, a ...any) { c.host.Log(id, fmt.Sprintf(f, a...)) }
 
 func count(yes bool) int {
 	if yes {
@@ -479,7 +479,7 @@
 	b.away = true
 	b.backoff = max(firstBackoff, min(2*b.backoff, longestBackoff))
 	b.backAt, b.probedAt = now+b.backoff, now
-	c.logf("backend %d leaves R: %d of %d tries failed, %d s", id, b.failed, b.tries, b.backoff/second)
+	c.logf(id, "leaves R: %d of %d tries failed, %d s", b.failed, b.tries, b.backoff/second)
 	return away + b.Weight
 }
 
@@ -513,7 +513,7 @@
 	b := c.backends[id]
 	if b.strained == 0 {
 		b.strained = 1
-		c.logf("backend %d strained: answers take %.1f times the median", id, b.score)
+		c.logf(id, "strained: answers take %.1f times the median", b.score)
 	}
 	b.strained = max(b.strained*strainStep, entryShare)
 	b.widenAt = now + 2*firstBackoff
@@ -542,7 +542,7 @@
 	}
 	if empty := r == 0 && usable > 0; empty != c.fallback {
 		c.fallback = empty
-		c.logf("R empty: %v, %d backends usable", empty, usable)
+		c.logf(-1, "R empty: %v, %d backends usable", empty, usable)
 	}
 }
 
@@ -550,7 +550,7 @@
 	b := c.backends[id]
 	b.away, b.enteredAt = false, now
 	b.forget(now)
-	c.logf("backend %d returns to R, probed %v, after %d s", id, probed, b.backoff/second)
+	c.logf(id, "returns to R, probed %v, after %d s", probed, b.backoff/second)
 }
 
 // Probed is how a probe ended. A pass may show little more than that the process runs.
@@ -726,7 +726,7 @@
 	}
 	a.limit = a.part * a.able * r.laid
 	if a.bound = a.part > 0 && r.came > a.limit; was != a.bound {
-		c.logf("limit bound %v at %.1f units/s: heat %.2f, %.1f come, %.1f answered",
+		c.logf(-1, "limit bound %v at %.1f units/s: heat %.2f, %.1f come, %.1f answered",
 			a.bound, a.limit, r.heat, r.came, r.answered)
 	}
 	c.setLevels()
--- a/decide/fake_test.go
+++ b/decide/fake_test.go
@@ -25,9 +25,9 @@
 	script   []string
 }
 
-func (s *stage) Now() int64 { return s.now }
-func (s *stage) Log(string) {}
-func (s *stage) Watch()     { s.watches++ }
+func (s *stage) Now() int64      { return s.now }
+func (s *stage) Log(int, string) {}
+func (s *stage) Watch()          { s.watches++ }
 func (s *stage) After(wait int64, tag uint64) {
 	s.timers, s.tag = append(s.timers, s.now+wait), tag
 }
--- a/decide/host.go
+++ b/decide/host.go
@@ -9,7 +9,7 @@
 type Host interface {
 	Now() int64
 	After(wait int64, tag uint64)
-	Log(line string)
+	Log(backend int, line string) // about a backend, or -1 for none
 
 	// The list of backends, and a look at one of them.
 	Watch()
--- a/internal/benchwire/door.go
+++ b/internal/benchwire/door.go
@@ -306,7 +306,12 @@
 	binary.LittleEndian.PutUint64(rec[11:], tag)
 }
 
-func (in *instance) Log(line string) { in.door.reply.text(acEmit, in.id, line) }
+func (in *instance) Log(backend int, line string) {
+	if backend >= 0 {
+		line = fmt.Sprintf("backend %d %s", in.backends.ids[backend], line)
+	}
+	in.door.reply.text(acEmit, in.id, line)
+}
 
 func (in *instance) Watch() { in.door.reply.act(acListen, in.id)[3] = 1 }
 
