--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -360,6 +360,19 @@
 			}
 		}
 	})
+	t.Run("a peer that reads nothing ends when a message does not leave in time", func(t *testing.T) {
+		m, said := begin(t)
+		m.limits.write = 20 * time.Millisecond
+		p := joins(t, m, 1, 0, false) // its first table waits already
+		p.run()
+		if text, _ := said.read(); !strings.Contains(fmt.Sprint(p.why), "write: ") {
+			t.Errorf("ended by %v: %s", p.why, text)
+		}
+		m.turn(func() {})
+		if m.current(p) {
+			t.Error("it is still joined")
+		}
+	})
 	t.Run("a stranger that probes is not one that says nothing", func(t *testing.T) {
 		address, said := serves(t, discovers(t).address, two, func(l *limits) { l.first = time.Second })
 		p, mute := calls(t, address), calls(t, address)
@@ -368,6 +381,7 @@
 		if !mute.ends() {
 			t.Error("a mute one stayed")
 		}
+		p.says(usage) // before its hello: passed over
 		p.says(hello)
 		p.gets()
 		said.waits(t, "event=joined node=3", 1)
