--- a/controller/peer.go
+++ b/controller/peer.go
@@ -201,6 +201,16 @@
 	return x, x >= 0 && start.Sane(x) == x
 }
 
+// eitherAt reads a figure that goes by one of two names; one that is not there is negative.
+func eitherAt(m *fastjson.Value, name, other string) float64 {
+	for _, key := range []string{name, other} {
+		if x, ok := figureAt(m, key); ok {
+			return x
+		}
+	}
+	return -1
+}
+
 // indexAt reads a whole number below a bound.
 func indexAt(m *fastjson.Value, key string, below int) (int, bool) {
 	x, ok := figureAt(m, key)
@@ -274,16 +284,9 @@
 		p.skip("outcomes without usable figures")
 		return
 	}
-	load := decide.Load{Busy: -1, Waiting: -1, Service: -1}
-	for name, into := range map[string]*float64{"util": &load.Busy, "cpu": &load.Busy, "queue": &load.Waiting,
-		"waiting": &load.Waiting, "latency_ms": &load.Service, "avg_ms": &load.Service} {
-		if x, ok := figureAt(m.Get("metrics"), name); ok {
-			*into = x
-		}
-	}
-	if load.Service >= 0 {
-		load.Service *= 1000
-	}
+	said := m.Get("metrics")
+	load := decide.Load{Busy: eitherAt(said, "util", "cpu"), Waiting: eitherAt(said, "queue", "waiting"),
+		Service: 1000 * eitherAt(said, "latency_ms", "avg_ms")}
 	p.module.report(func() { p.module.met(id, tries, failed, start.Micros(mean), load) })
 }
 
