After standing still ourselves no stream is taken for silent

Now what was missed while no turn came for 1 s counts for nothing; the story fails without the change in findSilent.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -79,6 +79,19 @@
 			t.Errorf("gone %v, talks %v, quiet %v", m.current(gone), m.current(talks), m.current(quiet))
 		}
 	})
+	t.Run("after standing still ourselves nobody is taken for silent", func(t *testing.T) {
+		m, said := begin(t)
+		p := joins(t, m, 1, 0, false)
+		jump(m, 2*m.limits.silence, func() {})
+		if !m.current(p) {
+			t.Error("given up before it could be heard")
+		}
+		later(m, m.limits.silence+second, func() {})
+		if m.current(p) {
+			t.Error("never given up")
+		}
+		said.waits(t, "event=stood_still", 1)
+	})
 	t.Run("it is found sooner where others have answered the same mark", func(t *testing.T) {
 		m, _ := begin(t)
 		gone, here := joins(t, m, 1, 0, false), joins(t, m, 2, 1, false)
--- a/controller/fake_test.go
+++ b/controller/fake_test.go
@@ -242,8 +242,16 @@
 	return v
 }
 
-// later takes a turn after a while.
+// later takes a turn after a while, and idle ones before it, as timers bring them.
 func later(m *module, wait int64, what func()) {
+	for ; wait > second/2; wait -= second / 2 {
+		jump(m, second/2, func() {})
+	}
+	jump(m, wait, what)
+}
+
+// jump takes a turn after a while in which we stood still.
+func jump(m *module, wait int64, what func()) {
 	now := m.now + wait
 	m.clock = func() int64 { return now }
 	m.turn(what)
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -42,6 +42,7 @@
 	older      int           // answers older than what we know before we take discovery at its word
 	silence    int64         // µs without a word, a mark unanswered as long, show a half-open stream
 	lag        int64         // the same where other proxies have answered the mark
+	still      int64         // µs without a turn show that we stood still: the decisions want one several times a second
 	quiet      time.Duration // a line of the log that repeats is held back for so long
 	sorts      int           // different lines whose repeats are counted
 }
@@ -55,7 +56,7 @@
 		first: 5 * time.Second, probing: time.Minute, write: 10 * time.Second,
 		dial: 500 * time.Millisecond, watch: 2 * time.Second, watchOver: time.Second,
 		retryLeast: 50 * time.Millisecond, retryMost: time.Second, older: 5,
-		quiet: 10 * time.Second, sorts: 1024,
+		quiet: 10 * time.Second, sorts: 1024, still: second,
 	}
 }
 
@@ -79,9 +80,9 @@
 	l.strange = max(256, nodes+zones) // after a restart all come at once, and each is a stranger at first
 	l.tick = max(time.Duration(tick)*time.Microsecond, time.Millisecond)
 	// A live proxy reports each period. It may stand still for two seconds, and the channel may be full.
-	const still = 2 * second
-	l.silence = 2*channel.LongestWay + 3*sight.ReportEvery + still
-	l.lag = channel.LongestWay + still
+	const stall = 2 * second
+	l.silence = 2*channel.LongestWay + 3*sight.ReportEvery + stall
+	l.lag = channel.LongestWay + stall
 	if channel.LinesPerS > 0 {
 		l.lag += int64(channel.Backlog / channel.LinesPerS * second)
 	}
--- a/controller/module.go
+++ b/controller/module.go
@@ -33,6 +33,7 @@
 	ready  chan struct{} // closed once the decisions know a backend
 	clock  func() int64
 	now    int64 // of this turn
+	stood  int64 // when we last came to ourselves after standing still
 	timers []timer
 }
 
@@ -79,6 +80,7 @@
 
 func (m *module) run(ctx context.Context) {
 	defer close(m.done)
+	m.now = m.clock()
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	for {
@@ -108,7 +110,11 @@
 
 // turn takes what has come in, and the timers that are due, at one clock time.
 func (m *module) turn(first func()) {
-	m.now = max(m.clock(), m.now+1)
+	last := m.now
+	if m.now = max(m.clock(), last+1); m.now-last > m.limits.still {
+		m.log.seldom("stood", "event=stood_still seconds=%.1f", float64(m.now-last)/second)
+		m.stood = m.now
+	}
 	first()
 	for taken := 1; taken < m.limits.turn; taken++ {
 		select {
@@ -276,13 +282,14 @@
 
 // findSilent ends streams that are half-open. They say nothing and cannot be told from quiet ones but by marks that
 // stay unanswered, so both are asked for.
-// Where other proxies have answered the same mark, less time will do: messages leave the channel one by one.
+// Where other proxies have answered the same mark, less time will do: messages leave the channel one by one. While we
+// stood still ourselves we heard nobody, which says nothing of them.
 func (m *module) findSilent() {
 	for node, j := range m.joins {
 		if j == nil || len(j.waiting) == 0 {
 			continue
 		}
-		oldest, unheard := j.waiting[0], m.now-j.peer.heard.Load()
+		oldest, unheard := j.waiting[0], m.now-max(j.peer.heard.Load(), m.stood)
 		if min(m.now-oldest.at, unheard) > m.limits.silence ||
 			oldest.answered > 0 && min(m.now-oldest.answered, unheard) > m.limits.lag {
 			m.lose(node, errSilent)
