Discovery that will not go on from our version is asked for all it knows

Read from the code: a discovery that answers every watch with an error, because it no longer knows our version, would have left us asking for changes for good (watch in list.go asked for everything only after older answers). Five answers of no use in a row now lead to one call for the whole list. Calls that get no answer do not count: the watch goes on then.

--- a/controller/limits.go
+++ b/controller/limits.go
@@ -39,7 +39,7 @@
 	watchOver  time.Duration // beyond that before the call has failed
 	retryLeast time.Duration // pause after a failed call, doubling ...
 	retryMost  time.Duration // ... up to this
-	older      int           // answers older than what we know before we take discovery at its word
+	vain       int           // answers of no use, or older than what we know, before we ask for all and take that
 	silence    int64         // µs without a word, a mark unanswered as long, show a half-open stream
 	lag        int64         // the same where other proxies have answered the mark
 	still      int64         // µs without a turn show that we stood still: the decisions want one several times a second
@@ -55,7 +55,7 @@
 		mailbox: 4096, turn: 1024, outgoing: 64, marks: 256, body: 16 << 20,
 		first: 5 * time.Second, probing: time.Minute, write: 10 * time.Second,
 		dial: 500 * time.Millisecond, watch: 2 * time.Second, watchOver: time.Second,
-		retryLeast: 50 * time.Millisecond, retryMost: time.Second, older: 5,
+		retryLeast: 50 * time.Millisecond, retryMost: time.Second, vain: 5,
 		quiet: 10 * time.Second, sorts: 1024, still: second,
 	}
 }
--- a/controller/list.go
+++ b/controller/list.go
@@ -24,6 +24,7 @@
 	version int64
 	some    bool // a version is known
 	older   int  // answers in a row that were older than that
+	vain    int  // answers in a row that were of no use
 
 	mutex sync.Mutex
 	conn  net.Conn // to discovery, for a call to be given up
@@ -104,13 +105,14 @@
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	uri := "http://" + l.client.Addr + "/api/targets"
-	if l.some && l.older < l.limits.older {
+	if l.some && l.vain < l.limits.vain {
 		uri += fmt.Sprintf("?since=%d&timeout_ms=%d", l.version, l.limits.watch.Milliseconds())
 	}
 	request.SetRequestURI(uri)
 	if err := l.client.DoTimeout(request, response, l.limits.watch+l.limits.watchOver); err != nil {
 		return fmt.Errorf("call: %w", err)
 	}
+	l.vain++ // until it proves to be of use; one that will not go on from our version may still say all it knows
 	if code := response.StatusCode(); code != fasthttp.StatusOK {
 		return fmt.Errorf("status %d", code)
 	}
@@ -130,7 +132,7 @@
 		return errBroken
 	}
 	whole := a.GetBool("full")
-	if l.some && int64(version) < l.version && (l.older < l.limits.older || !whole) {
+	if l.some && int64(version) < l.version && (l.older < l.limits.vain || !whole) {
 		l.older++
 		return fmt.Errorf("version %.0f is older than %d", version, l.version)
 	}
@@ -140,6 +142,6 @@
 	if whole || len(servers.GetArray()) > 0 {
 		l.take(whole, int64(version), servers.GetArray())
 	}
-	l.version, l.some, l.older = int64(version), true, 0
+	l.version, l.some, l.older, l.vain = int64(version), true, 0, 0
 	return nil
 }
