--- a/controller/module.go
+++ b/controller/module.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// report gives the module something that may be lost: with a full mailbox the newest is given up, as the reader has
-// to go on reading, and what is older would say less.
+// report gives the module something that may be lost. With a full mailbox it is given up: the reader has to go on
+// reading, and thousands of reports that wait already say nearly the same.
 func (m *module) report(what func()) {
 	select {
 	case m.mail <- what:
--- a/controller/server.go
+++ b/controller/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -35,12 +36,17 @@
 		conn, err := listener.Accept()
 		switch {
 		case ctx.Err() != nil:
+			if err == nil {
+				conn.Close()
+			}
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept: %w", err)
-		case err != nil: // no descriptor left, or the caller has gone again
+		case err != nil: // the caller has gone again, or no descriptor is left
 			s.log.seldom("accept", "event=accept_failed error=%q", err)
-			s.makeRoom(1)
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				s.makeRoom(1)
+			}
 			select {
 			case <-ctx.Done():
 			case <-time.After(s.limits.tick):
@@ -60,7 +66,7 @@
 	}
 }
 
-// makeRoom ends the oldest of those that have not said who they are while there are too many, or a few at least.
+// makeRoom ends the oldest of those that have not said who they are while there are too many, and so many at least.
 func (s *server) makeRoom(least int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
