--- a/controller/orders.go
+++ b/controller/orders.go
@@ -19,7 +19,6 @@
 	parts    int
 	mask     uint16 // classes that the open part means
 	levelled bool   // the open part has a level
-	lines    int    // as the channel counts them
 }
 
 const partTail = len(`],"more":true}`)
@@ -70,13 +69,11 @@
 		o.raw = append(o.raw, item...)
 	}
 	o.raw = append(o.raw, ']')
-	o.lines += len(items)
 }
 
 func (o *order) whole(mask uint16, lines [][]byte) {
 	o.part(mask)
 	o.raw = append(o.raw, `,"whole":true`...)
-	o.lines++
 	o.list("lines", lines)
 }
 
@@ -93,7 +90,6 @@
 	o.raw = appendFigure(append(o.raw, `,"level":`...), l.allowance)
 	o.raw = strconv.AppendInt(append(o.raw, `,"retry":`...), int64(l.tries), 10)
 	o.levelled = true
-	o.lines++
 }
 
 // backends writes those that are to be shut out, or let back.
@@ -114,7 +110,6 @@
 	}
 	o.room(64)
 	o.raw = strconv.AppendInt(append(o.raw, `,"ticket":`...), int64(number), 10)
-	o.lines++
 }
 
 // room opens a further part when a few more bytes would not go into this one.
--- a/controller/tables.go
+++ b/controller/tables.go
@@ -195,7 +195,7 @@
 			continue
 		}
 		s.touched = false
-		message, _, err := t.message(s)
+		message, err := t.message(s)
 		if err == nil {
 			err = s.peer.send(message)
 		}
@@ -214,7 +214,7 @@
 }
 
 // message encodes what one proxy must be told, and notes it as written.
-func (t *tables) message(s *stream) ([]byte, int, error) {
+func (t *tables) message(s *stream) ([]byte, error) {
 	o := &order{classes: t.classes, limit: t.frame, most: t.parts}
 	rest := uint16(1<<len(t.classes) - 1)
 	for class, number := range s.bound {
@@ -246,8 +246,7 @@
 	if o.parts == 0 {
 		o.next(0)
 	}
-	raw, err := o.end()
-	return raw, o.lines, err
+	return o.end()
 }
 
 // lines encodes the changed lines of a table, or all that stand.
