--- /dev/null
+++ b/cmd/wheelrill/main_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"log"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// lines hands on what is logged.
+type lines chan string
+
+func (l lines) Write(line []byte) (int, error) {
+	l <- string(line)
+	return len(line), nil
+}
+
+func TestSignals(t *testing.T) {
+	sample, err := os.ReadFile("../../deploy/sample.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := strings.Replace(string(sample), `"127.0.0.1:8443"`, `"127.0.0.1:0"`, 1)
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("LB_CONFIG", path)
+	t.Setenv("LB_DISCOVERY", "127.0.0.1:7")
+	writes := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	writes(good)
+	said := make(lines, 1024)
+	log.SetOutput(said)
+	defer log.SetOutput(os.Stderr)
+	ended := make(chan error, 1)
+	go func() { ended <- run(hangUps()) }()
+	waits := func(some string) {
+		for line := range said {
+			if strings.Contains(line, some) {
+				return
+			}
+		}
+	}
+	waits("event=serving")
+	for text, answer := range map[string]string{good: "event=reloaded discovery=127.0.0.1:8500",
+		good[:len(good)/2]: "event=reload_refused", "": "event=reload_refused"} {
+		writes(text)
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		waits(answer)
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -3,12 +3,15 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"hash/fnv"
 	"log"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -27,87 +30,142 @@
 
 // Controller is one controller.
 type Controller struct {
-	name, listen string
-	limits       *limits
-	log          *journal
-	module       *module
-	list         *list
+	limits *limits
+	log    *journal
+	module *module
+	list   *list
+
+	mutex sync.Mutex
+	plan  *plan // what the last configuration that counts said
+}
+
+// plan is a configuration that was read and found usable.
+type plan struct {
+	Place
+	seed     uint64
+	known    *fastjson.Value
+	limits   *limits
+	channel  decide.Channel
+	rules    decide.Limits
+	classes  []decide.Class
+	names    [][]byte       // of the classes, as they are written
+	index    map[string]int // and as they are read
+	zones    []string
+	sight    decide.Sight
+	admit    decide.Admission
+	lasting  map[string]string // what counts from a start on, as the file has it
+	complain []string          // what is odd, but can be borne
 }
 
 // New reads a configuration, a JSON object. An error names the key that is missing or unusable.
 func New(place Place, configuration []byte, to *log.Logger) (*Controller, error) {
+	p, err := read(configuration)
+	if err != nil {
+		return nil, err
+	}
+	p.Name, p.Listen = cmp.Or(place.Name, p.Name), cmp.Or(place.Listen, p.Listen)
+	p.Discovery = cmp.Or(place.Discovery, p.Discovery)
+	switch _, _, err := net.SplitHostPort(p.Discovery); {
+	case p.Listen == "":
+		return nil, errors.New("configuration: listen is missing")
+	case p.Discovery == "":
+		return nil, errors.New("configuration: discovery is missing")
+	case err != nil:
+		return nil, fmt.Errorf("configuration: discovery: %w", err)
+	}
+	c := &Controller{limits: p.limits, log: newJournal(to, p.limits.quiet, p.limits.sorts), plan: p}
+	for _, text := range p.complain {
+		c.log.say("event=setting text=%q", text)
+	}
+	m := &module{limits: p.limits, log: c.log, zones: index(p.zones), zoneNames: p.zones, classes: p.index,
+		backends: map[string]int{}, mail: make(chan func(), p.limits.mailbox), done: make(chan struct{}),
+		ready: make(chan struct{}), clock: newClock()}
+	m.tables = newTables(p.names, func(backend int) []byte { return m.names[backend] }, p.limits.frame, p.limits.parts)
+	m.now = m.clock()
+	m.control = decide.New(m, p.seed, p.classes, p.channel, p.rules, decide.Partition{}, p.sight, p.admit)
+	c.module = m
+	c.list = newList(p.Discovery, p.limits, c.log, func(whole bool, version int64, servers []*fastjson.Value) {
+		m.post(func() { m.listed(whole, version, servers) })
+	})
+	m.list = c.list
+	c.list.start(p.known)
+	return c, nil
+}
+
+// read takes in a whole configuration, or says what keeps it from being used.
+func read(configuration []byte) (*plan, error) {
 	root, err := fastjson.ParseBytes(configuration)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	for key, into := range map[string]*string{"name": &place.Name, "listen": &place.Listen,
-		"discovery": &place.Discovery} {
-		if *into == "" {
-			*into = string(root.GetStringBytes(key))
-		}
-	}
 	settings := root.Get("settings")
-	switch {
-	case place.Listen == "":
-		return nil, errors.New("configuration: listen is missing")
-	case place.Discovery == "":
-		return nil, errors.New("configuration: discovery is missing")
-	case settings == nil || settings.Type() != fastjson.TypeObject:
+	if settings == nil || settings.Type() != fastjson.TypeObject {
 		return nil, errors.New("configuration: settings is missing")
 	}
-	bounds := usualLimits()
+	text := func(key string) string { return string(root.GetStringBytes(key)) }
+	p := &plan{Place: Place{text("name"), text("listen"), text("discovery")}, seed: seed(root.GetStringBytes("seed")),
+		known: root.Get("known"), limits: usualLimits(), lasting: map[string]string{}, index: map[string]int{}}
+	for _, key := range []string{"name", "listen", "limits", "settings"} {
+		if v := root.Get(key); v != nil {
+			p.lasting[key] = v.String()
+		}
+	}
 	given := root.Get("limits")
 	cores, _ := figureAt(given, "cores")
 	memory, _ := figureAt(given, "memory_mb")
 	sockets, _ := figureAt(given, "sockets")
-	bounds.give(cores, memory, sockets)
-	log := newJournal(to, bounds.quiet, bounds.sorts)
+	p.limits.give(cores, memory, sockets)
 	facts := start.Nested(settings, func(format string, args ...any) {
-		log.say("event=setting text=%q", fmt.Sprintf(format, args...))
+		p.complain = append(p.complain, fmt.Sprintf(format, args...))
 	})
-	channel, rules, classes := facts.Channel(), facts.Limits(), facts.Classes()
-	sight, admission := facts.Sight(), facts.Admission()
-	zones, nodes := facts.Zones(), facts.Count("familyInfo.proxyCount")
+	p.channel, p.rules, p.classes = facts.Channel(), facts.Limits(), facts.Classes()
+	p.sight, p.admit, p.zones = facts.Sight(), facts.Admission(), facts.Zones()
+	nodes := facts.Count("familyInfo.proxyCount")
 	if facts.Maybe("familyInfo.partitionsN", 0) > 0 {
 		facts.Fail("familyInfo.partitionsN", "asks for slices, which no page describes on sockets yet")
 	}
-	if sight.MayProbe {
-		log.say("event=setting text=%q", "probes are left off: no page describes them on sockets yet")
+	if p.sight.MayProbe {
+		p.complain = append(p.complain, "probes are left off: no page describes them on sockets yet")
 	}
-	sight.MayProbe, sight.MustAsk = false, false // the list is followed here without being asked for
+	p.sight.MayProbe, p.sight.MustAsk = false, false // the list is followed here without being asked for
 	tick := start.Micros(facts.Maybe("tick", 0))
-	names, nameText := []string{}, [][]byte{}
-	for i := range classes {
+	for i := range p.classes {
 		name := settings.Get("profiles", strconv.Itoa(i), "name")
 		if name == nil || name.Type() != fastjson.TypeString {
 			facts.Fail(fmt.Sprintf("profiles.%d.name", i), "is missing")
 			break
 		}
-		names, nameText = append(names, string(name.GetStringBytes())), append(nameText, name.MarshalTo(nil))
+		p.names, p.index[string(name.GetStringBytes())] = append(p.names, name.MarshalTo(nil)), i
 	}
 	if err := facts.Err(); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	bounds.size(nodes, len(zones), tick, channel, sight)
-	c := &Controller{name: place.Name, listen: place.Listen, limits: bounds, log: log}
-	m := &module{limits: bounds, log: log, zones: index(zones), zoneNames: zones, classes: index(names),
-		backends: map[string]int{}, mail: make(chan func(), bounds.mailbox), done: make(chan struct{}),
-		ready: make(chan struct{}), clock: newClock()}
-	m.tables = newTables(nameText, func(backend int) []byte { return m.names[backend] }, bounds.frame, bounds.parts)
-	m.now = m.clock()
-	m.control = decide.New(m, seed(root.GetStringBytes("seed")), classes, channel, rules, decide.Partition{},
-		sight, admission)
-	c.module = m
-	c.list = newList(place.Discovery, bounds, log, func(whole bool, version int64, servers []*fastjson.Value) {
-		m.post(func() { m.listed(whole, version, servers) })
-	})
-	m.list = c.list
-	if known := root.Get("known"); known != nil {
-		if err := c.list.answer(known); err != nil {
-			log.say("event=known_unusable error=%q", err)
+	p.limits.size(nodes, len(p.zones), tick, p.channel, p.sight, p.classes)
+	return p, nil
+}
+
+// Reload takes a configuration that replaces the last one, in one step. What it says of discovery counts at once, and
+// more than what the environment said; the rest of it counts from the next start on. One that cannot be used changes
+// nothing. Streams, tables and all that is known live on.
+func (c *Controller) Reload(configuration []byte) error {
+	p, err := read(configuration)
+	if err != nil {
+		return err
+	}
+	if _, _, err := net.SplitHostPort(p.Discovery); err != nil {
+		return fmt.Errorf("configuration: discovery: %w", err)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(p.lasting)) {
+		if p.lasting[key] != c.plan.lasting[key] {
+			c.log.say("event=reload_later key=%s text=%q", key, "it differs, and counts from the next start on")
 		}
 	}
-	return c, nil
+	c.log.say("event=reloaded discovery=%s", p.Discovery)
+	c.plan = p
+	c.list.follow(p.Discovery, p.known)
+	return nil
 }
 
 func index(names []string) map[string]int {
@@ -134,12 +192,15 @@
 
 // Serve runs the controller until the context ends. It returns nil then, or what kept it from serving.
 func (c *Controller) Serve(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.listen)
+	c.mutex.Lock()
+	place := c.plan.Place
+	c.mutex.Unlock()
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", place.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	c.log.say("event=serving name=%s listen=%s discovery=%s proxies=%d strangers=%d sockets=%d", c.name,
-		listener.Addr(), c.list.client.Addr, c.limits.nodes, c.limits.strange, c.limits.sockets)
+	c.log.say("event=serving name=%s listen=%s discovery=%s proxies=%d strangers=%d sockets=%d", place.Name,
+		listener.Addr(), place.Discovery, c.limits.nodes, c.limits.strange, c.limits.sockets)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var parts sync.WaitGroup
@@ -148,6 +209,6 @@
 	err = (&server{limits: c.limits, module: c.module, log: c.log}).run(ctx, listener)
 	cancel()
 	parts.Wait()
-	c.log.say("event=stopped name=%s", c.name)
+	c.log.say("event=stopped name=%s", place.Name)
 	return err
 }
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -70,7 +70,10 @@
 		h := newHearer("read it", "write")
 		h.hears(t, quiet)
 		m.turn(func() { m.applied(quiet, h.tickets[0]) })
-		later(m, m.limits.silence-second/2, func() { m.came(1, 0, 4, second) })
+		later(m, m.limits.silence-second/2, func() {
+			talks.heard.Store(m.now)
+			m.came(0, 0, 4, second) // through a collector: that says nothing of the stream
+		})
 		if !m.current(gone) || !m.current(talks) {
 			t.Error("given up too early")
 		}
@@ -150,7 +153,7 @@
 		said := newDiary()
 		odd := strings.Replace(good, `"weights":"rough"`, `"weights":"guessed"`, 1)
 		c, err := New(Place{Listen: "127.0.0.1:7", Discovery: "127.0.0.1:8"}, []byte(odd), log.New(said, "", 0))
-		if err != nil || c.listen != "127.0.0.1:7" || c.list.client.Addr != "127.0.0.1:8" || c.Cores() != 1 ||
+		if err != nil || c.plan.Listen != "127.0.0.1:7" || c.list.client.Addr != "127.0.0.1:8" || c.Cores() != 1 ||
 			c.Memory() != 192<<20 {
 			t.Errorf("got %+v, error %v", c, err)
 		}
@@ -210,6 +213,12 @@
 
 // serves runs a controller, and ends it with the story, which must take well under 0.7 s.
 func serves(t *testing.T, discovery, known string, change func(*limits)) (address string, said *diary) {
+	t.Helper()
+	_, address, said = runs(t, discovery, known, change)
+	return address, said
+}
+
+func runs(t *testing.T, discovery, known string, change func(*limits)) (c *Controller, address string, said *diary) {
 	t.Helper()
 	said = newDiary()
 	c, err := New(Place{}, configuration(discovery, known), log.New(said, "", 0))
@@ -236,7 +245,7 @@
 	})
 	said.waits(t, "event=serving", 1)
 	text, _ := said.read()
-	return regexp.MustCompile(`event=serving .* listen=(\S+)`).FindStringSubmatch(text)[1], said
+	return c, regexp.MustCompile(`event=serving .* listen=(\S+)`).FindStringSubmatch(text)[1], said
 }
 
 var two = listing(1, true, backendIs(0, "up"), backendIs(1, "up"))
@@ -341,11 +350,45 @@
 			strings.Replace(agent, `"a"`, `7`, 1), strings.Repeat(" ", 20000) + hello} {
 			q := calls(t, address)
 			q.Write(framed(text))
-			if !q.ends() {
+			if !q.refused() {
 				t.Errorf("%.40q was taken", text)
 			}
 		}
 	})
+	t.Run("a stranger has one deadline, whatever it says and however slowly", func(t *testing.T) {
+		address, _ := serves(t, discovers(t).address, two, func(l *limits) { l.first = 300 * time.Millisecond })
+		began, push := time.Now(), `{"msg":"push","out":["s-0"]}`
+		for what, bad := range map[string]string{"a report before it joined": string(framed(reports)),
+			"usage before it joined": string(framed(usage)), "a mark": string(framed(`{"msg":"ack","node":3,"nonce":1}`)),
+			"an order": string(framed(push)), "HTTP": "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "no object": string(framed("[]")),
+			"half a hello": string(framed(hello)[:20]), "no length": "\x00\x00\x00\x00", "nothing": "",
+			"too much": "\x7f\xff\xff\xff" + strings.Repeat("x", 9000)} {
+			c := calls(t, address)
+			if c.Write([]byte(bad)); !c.refused() {
+				t.Errorf("%s: it was not refused", what)
+			}
+		}
+		if spent := time.Since(began); spent > 2*time.Second {
+			t.Errorf("all that took %v", spent) // only those that are not done saying something wait for the deadline
+		}
+		c, trickle := calls(t, address), calls(t, address)
+		for range time.Tick(time.Millisecond) { // a probe renews nothing, nor does another byte
+			_, err := c.Write(framed(probe))
+			if _, late := trickle.Write([]byte(hello)[:1]); err != nil && late != nil {
+				break
+			}
+		}
+	})
+	t.Run("what arrived while we stood still is read before anybody is judged late", func(t *testing.T) {
+		m, _ := begin(t)
+		m.limits.first = time.Nanosecond
+		here, there := net.Pipe()
+		go there.Write(framed(hello))
+		p := newPeer(here, 1, m, func(*peer) error { there.Close(); return nil })
+		if p.read(); p.kind != proxy {
+			t.Errorf("it is a %v", p.kind)
+		}
+	})
 	t.Run("strangers that say nothing are ended, and keep nobody out", func(t *testing.T) {
 		d := discovers(t)
 		address, said := serves(t, d.address, two, func(l *limits) { l.strange, l.first = 10, 200*time.Millisecond })
@@ -364,7 +407,7 @@
 		c.says(probe)
 		c.gets()
 		for _, s := range strangers {
-			if !s.ends() {
+			if !s.refused() {
 				t.Error("a stranger stayed")
 			}
 		}
@@ -390,18 +433,35 @@
 			t.Error("it is still joined")
 		}
 	})
-	t.Run("a stranger that probes is not one that says nothing", func(t *testing.T) {
-		address, said := serves(t, discovers(t).address, two, func(l *limits) { l.first = time.Second })
-		p, mute := calls(t, address), calls(t, address)
-		p.says(probe)
-		p.gets()
-		if !mute.ends() {
-			t.Error("a mute one stayed")
+	t.Run("while hundreds are silent, proxies that come back all at once take the places of their old streams", func(t *testing.T) {
+		address, said := serves(t, discovers(t).address, two, func(l *limits) { l.conns, l.lasting, l.strange = 48, 42, 48 })
+		var old, now []*caller
+		for round := range 2 {
+			for range 100 {
+				calls(t, address)
+			}
+			for node := range 40 {
+				p := calls(t, address)
+				p.says(strings.Replace(hello, "3", fmt.Sprint(node), 1))
+				p.says(probe)
+				if old = append(old, p); round == 1 {
+					now = append(now, p)
+				}
+			}
+		}
+		for _, p := range now {
+			p.gets()
+		}
+		for _, p := range old[:40] {
+			for p.SetReadDeadline(time.Now().Add(patience)); ; {
+				if _, err := p.in.ReadByte(); err != nil {
+					break
+				}
+			}
+		}
+		if text, _ := said.read(); strings.Contains(text, errBudget.Error()) {
+			t.Error("one of them found no room")
 		}
-		p.says(usage) // before its hello: passed over
-		p.says(hello)
-		p.gets()
-		said.waits(t, "event=joined node=3", 1)
 	})
 	t.Run("of a zone's collectors the newest stay, and beyond the budget nobody is taken", func(t *testing.T) {
 		address, _ := serves(t, discovers(t).address, two, func(l *limits) { l.lasting = 4 })
@@ -421,7 +481,7 @@
 			p.says(strings.Replace(hello, "3", fmt.Sprint(node), 1))
 			if node < 2 {
 				p.gets()
-			} else if !p.ends() {
+			} else if !p.refused() {
 				t.Error("one beyond the budget was taken")
 			}
 		}
@@ -458,6 +518,68 @@
 	})
 }
 
+func TestReload(t *testing.T) {
+	t.Run("another address is followed at once, and streams and what is known live on", func(t *testing.T) {
+		d, next := discovers(t), discovers(t)
+		d.answers <- "silence"
+		c, address, said := runs(t, d.address, two, func(l *limits) { l.watchOver = patience })
+		if query := <-d.asked; query != "since=1&timeout_ms=50" {
+			t.Errorf("asked %q", query)
+		}
+		p, h := calls(t, address), newHearer("read it", "write")
+		p.says(hello)
+		if err := h.apply(p.gets()); err != nil || len(h.picks(0)) != 2 {
+			t.Errorf("error %v, got %+v", err, h)
+		}
+		for range 3 { // several in a row are one
+			if err := c.Reload(configuration(next.address, "null")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		next.answers <- listing(2, false, backendIs(5, "up"))
+		for len(h.picks(0)) != 3 {
+			if err := h.apply(p.gets()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if query := <-next.asked; query != "since=1&timeout_ms=50" {
+			t.Errorf("the new one was asked %q", query)
+		}
+		said.waits(t, "event=reloaded discovery="+next.address, 3)
+	})
+	t.Run("one that cannot be used changes nothing, and says why", func(t *testing.T) {
+		d := discovers(t)
+		c, _, said := runs(t, d.address, two, nil)
+		good := string(configuration("127.0.0.1:9", "null"))
+		for change, why := range map[[2]string]string{{"{", "["}: "configuration", {`"discovery"`, `"was"`}: "discovery",
+			{"127.0.0.1:9", "nowhere"}: "discovery", {`"settings"`, `"was"`}: "settings", {good[90:], ""}: "configuration",
+			{`"egressPerS":900`, `"egressPerS":"many"`}: "egressPerS"} {
+			if err := c.Reload([]byte(strings.Replace(good, change[0], change[1], 1))); err == nil ||
+				!strings.Contains(err.Error(), why) {
+				t.Errorf("%v: error %v", change, err)
+			}
+		}
+		for len(d.asked) > 0 {
+			<-d.asked
+		}
+		if query := <-d.asked; query != "since=1&timeout_ms=50" {
+			t.Errorf("asked %q", query)
+		}
+		if text, _ := said.read(); strings.Contains(text, "event=reloaded") {
+			t.Errorf("one was taken: %s", text)
+		}
+	})
+	t.Run("what counts from the next start on is said", func(t *testing.T) {
+		c, _, said := runs(t, discovers(t).address, two, nil)
+		changed := strings.Replace(string(configuration("127.0.0.1:9", "null")), `"backlog":900`, `"backlog":901`, 1)
+		if err := c.Reload([]byte(strings.Replace(changed, `127.0.0.1:0`, `127.0.0.1:1`, 1))); err != nil {
+			t.Fatal(err)
+		}
+		said.waits(t, "event=reload_later key=listen", 1)
+		said.waits(t, "event=reload_later key=settings", 1)
+	})
+}
+
 func TestDiscovery(t *testing.T) {
 	t.Run("while it fails what was known stays, and the watch goes on where it was", func(t *testing.T) {
 		d := discovers(t)
--- a/controller/fake_test.go
+++ b/controller/fake_test.go
@@ -317,3 +317,12 @@
 	late, ok := err.(net.Error)
 	return err != nil && !(ok && late.Timeout())
 }
+
+// refused tells whether the controller closes the connection with no other word than an error, if it gets through.
+func (c *caller) refused() bool {
+	text, err := io.ReadAll(c.in)
+	late, ok := err.(net.Error)
+	said := len(text) == 0 || len(text) > 4 && bytes.HasPrefix(text[4:], []byte(`{"msg":"error","reason":"`)) &&
+		fastjson.ValidateBytes(text[4:]) == nil && int(binary.BigEndian.Uint32(text)) == len(text)-4
+	return said && !(ok && late.Timeout())
+}
--- a/controller/frame.go
+++ b/controller/frame.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"strconv"
 )
 
 // headSize is the length that stands before each message, most significant byte first.
@@ -36,6 +37,14 @@
 	binary.BigEndian.PutUint32(b[from:], uint32(len(b)-from-headSize))
 }
 
+// refusal is the last word to one that has not joined.
+func refusal(why error) []byte {
+	b := strconv.AppendQuoteToASCII(append(make([]byte, headSize), `{"msg":"error","reason":`...), cause(why))
+	b = append(b, '}')
+	closeFrame(b, 0)
+	return b
+}
+
 // alive is the answer to a probe.
 var alive = func() []byte {
 	b := append(make([]byte, headSize), `{"msg":"alive"}`...)
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -14,7 +14,7 @@
 	sockets  int   // descriptors the process may hold
 	nodes    int   // proxies that exist
 	perZone  int   // collectors of a zone that are kept; the oldest goes
-	conns    int   // connections; the oldest of those that have not said who they are goes
+	conns    int   // connections; the oldest of those that have not said who they are go
 	strange  int   // of those, at most
 	lasting  int   // of those that have said who they are, at most
 	backends int   // different backends that a list may name in a life
@@ -30,9 +30,18 @@
 	marks      int // unanswered marks that are remembered of one proxy
 	body       int // bytes of an answer of discovery
 
+	// What reports can say. Beyond it they are spoilt.
+	proxyRate float64 // exchanges a second that can come to a proxy, by far
+	fleetRate float64 // and to all of them
+	answer    int64   // µs that an answer can take
+	span      int64   // µs that one report can cover
+	busy      float64 // share of its cores that a backend can have at work; it may count them in percent
+	queue     float64 // exchanges that can wait at it
+
 	tick       time.Duration // between two clock times of the module
-	first      time.Duration // for a connection to say something whole
-	probing    time.Duration // for one that has only ever probed to do so again
+	first      time.Duration // from accept on, for a connection to say who it is
+	moment     time.Duration // that it has for this at least, however many others come
+	lastLook   time.Duration // that what had arrived by then is read, and that a last word may take
 	write      time.Duration // for one message to leave
 	dial       time.Duration // for a connection to discovery to come up
 	watch      time.Duration // that discovery may wait for something new
@@ -53,10 +62,11 @@
 		cores: 1, perZone: 2, backends: 1 << 16, id: 256,
 		frame: 1 << 20, firstFrame: 16 << 10, parts: 64, keptBuffer: 64 << 10,
 		mailbox: 4096, turn: 1024, outgoing: 64, marks: 256, body: 16 << 20,
-		first: 5 * time.Second, probing: time.Minute, write: 10 * time.Second,
-		dial: 500 * time.Millisecond, watch: 2 * time.Second, watchOver: time.Second,
+		first: 1500 * time.Millisecond, moment: 50 * time.Millisecond, lastLook: 20 * time.Millisecond,
+		write: 10 * time.Second,
+		dial:  500 * time.Millisecond, watch: 2 * time.Second, watchOver: time.Second,
 		retryLeast: 50 * time.Millisecond, retryMost: time.Second, vain: 5,
-		quiet: 10 * time.Second, sorts: 1024, still: second,
+		quiet: 10 * time.Second, sorts: 1024, still: second, proxyRate: 1000, busy: 100, queue: 1e6,
 	}
 }
 
@@ -70,7 +80,8 @@
 }
 
 // size fits the limits to the proxies and zones that exist, after give, and to the pace of orders and reports.
-func (l *limits) size(nodes, zones int, tick int64, channel decide.Channel, sight decide.Sight) {
+func (l *limits) size(nodes, zones int, tick int64, channel decide.Channel, sight decide.Sight,
+	classes []decide.Class) {
 	const spare = 24 // descriptors of the runtime, the standard streams, the listener and discovery
 	const least = 8  // room for strangers in any case: whoever comes is one at first
 	l.nodes = nodes
@@ -83,6 +94,12 @@
 	const stall = 2 * second
 	l.silence = 2*channel.LongestWay + 3*sight.ReportEvery + stall
 	l.lag = channel.LongestWay + stall
+	// A proxy gives an exchange up at its outer limit. Where lines wait for their turn one counts many periods.
+	l.fleetRate = l.proxyRate * float64(max(nodes, 1))
+	for _, class := range classes {
+		l.answer = max(l.answer, 2*class.Outer)
+	}
+	l.span = max(60*second, 30*sight.ReportEvery)
 	if channel.LinesPerS > 0 {
 		l.lag += int64(channel.Backlog / channel.LinesPerS * second)
 	}
--- a/controller/list.go
+++ b/controller/list.go
@@ -14,7 +14,7 @@
 )
 
 // list follows what discovery says of the backends: one watch after the other, without a pause while they succeed.
-// What was known stays while calls fail.
+// What was known stays while calls fail, and when another address takes over.
 type list struct {
 	client  *fasthttp.HostClient
 	asked   chan struct{} // the mailbox: a wish to be told at once
@@ -26,32 +26,54 @@
 	older   int  // answers in a row that were older than that
 	vain    int  // answers in a row that were of no use
 
-	mutex sync.Mutex
-	conn  net.Conn // to discovery, for a call to be given up
-	ended bool
+	mutex   sync.Mutex
+	address string   // where it is to be followed
+	next    *move    // to be made before the next call
+	conn    net.Conn // to discovery, for a call to be given up
+	ended   bool
+}
+
+// move is the wish that the list be followed at some address. What is known may help one who knows nothing yet.
+type move struct {
+	address string
+	known   *fastjson.Value
 }
 
 func newList(address string, l *limits, log *journal, take func(bool, int64, []*fastjson.Value)) *list {
-	f := &list{limits: l, log: log, take: take, asked: make(chan struct{}, 1)}
-	f.client = &fasthttp.HostClient{
+	f := &list{limits: l, log: log, take: take, asked: make(chan struct{}, 1), address: address}
+	f.client = f.at(address)
+	return f
+}
+
+func (l *list) at(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
 		Addr:                address,
 		MaxConns:            1,
-		Dial:                f.dial,
-		ReadTimeout:         l.watch + l.watchOver,
-		WriteTimeout:        l.dial,
-		MaxResponseBodySize: l.body,
+		Dial:                l.dial,
+		ReadTimeout:         l.limits.watch + l.limits.watchOver,
+		WriteTimeout:        l.limits.dial,
+		MaxResponseBodySize: l.limits.body,
 		// Further tries are ours to pace, and each call must come in time or be known to have failed.
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
-	return f
+}
+
+// start takes in what a configuration knew of the list.
+func (l *list) start(known *fastjson.Value) {
+	if known == nil || l.some {
+		return
+	}
+	if err := l.answer(known); err != nil {
+		l.log.say("event=known_unusable error=%q", err)
+	}
 }
 
 func (l *list) dial(address string) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", address, l.limits.dial)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.conn = conn; err == nil && l.ended {
+	if l.conn = conn; err == nil && (l.ended || address != l.address) {
 		conn.Close()
 	}
 	return conn, err
@@ -66,6 +88,34 @@
 	}
 }
 
+// follow has the list go on at an address. A call that is under way elsewhere is given up.
+func (l *list) follow(address string, known *fastjson.Value) {
+	l.mutex.Lock()
+	if l.next = (&move{address, known}); l.conn != nil && address != l.address {
+		l.conn.Close()
+	}
+	l.address = address
+	l.mutex.Unlock()
+	l.wake()
+}
+
+// moves makes the move that waits, if one does. The next call goes on from the version that is known.
+func (l *list) moves() bool {
+	l.mutex.Lock()
+	next := l.next
+	l.next = nil
+	l.mutex.Unlock()
+	if next == nil {
+		return false
+	}
+	if next.address != l.client.Addr {
+		l.client.CloseIdleConnections()
+		l.client, l.older, l.vain = l.at(next.address), 0, 0
+	}
+	l.start(next.known)
+	return true
+}
+
 // wake cuts a pause short.
 func (l *list) wake() {
 	select {
@@ -76,12 +126,13 @@
 
 // run follows the list until the context ends.
 func (l *list) run(ctx context.Context) {
-	defer l.client.CloseIdleConnections()
+	defer func() { l.client.CloseIdleConnections() }()
 	defer context.AfterFunc(ctx, l.hangUp)()
 	pause := l.limits.retryLeast
 	for ctx.Err() == nil {
+		l.moves()
 		err := l.watch()
-		if err == nil {
+		if err == nil || l.moves() {
 			pause = l.limits.retryLeast
 			continue
 		}
--- a/controller/module.go
+++ b/controller/module.go
@@ -326,7 +326,6 @@
 
 func (m *module) came(node, class, count int, span int64) {
 	if node < len(m.joins) && m.joins[node] != nil {
-		m.joins[node].peer.heard.Store(m.now)
 		m.control.Came(node, class, count, span)
 	}
 }
--- a/controller/peer.go
+++ b/controller/peer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -26,8 +27,18 @@
 	errRefused    = errors.New("it cannot be taken")
 	errBudget     = errors.New("no socket is left for it")
 	errStale      = errors.New("a newer connection came before it spoke")
+	errEarly      = errors.New("it must say first who it is")
 )
 
+// cause is what went wrong, without the addresses that make each line of a log another.
+func cause(err error) string {
+	var op *net.OpError
+	if errors.As(err, &op) {
+		return op.Op + ": " + op.Err.Error()
+	}
+	return err.Error()
+}
+
 // kind is what a connection has said that it is.
 type kind uint8
 
@@ -53,7 +64,10 @@
 	kind   kind          // set by the reader before known
 	zone   int
 	node   int
-	probed bool
+	came   time.Time // when it was accepted
+	looked bool      // its deadline has passed, and what had arrived by then is being read
+
+	hurried bool // of the server: it was asked to make room
 
 	mail  chan []byte
 	ended chan struct{}
@@ -63,8 +77,25 @@
 }
 
 func newPeer(conn net.Conn, serial int, m *module, known func(*peer) error) *peer {
-	return &peer{conn: conn, serial: serial, limits: m.limits, module: m, log: m.log, known: known, node: -1, zone: -1,
-		mail: make(chan []byte, m.limits.outgoing), ended: make(chan struct{})}
+	p := &peer{conn: conn, serial: serial, limits: m.limits, module: m, log: m.log, known: known, node: -1, zone: -1,
+		came: time.Now(), mail: make(chan []byte, m.limits.outgoing), ended: make(chan struct{})}
+	conn.SetReadDeadline(p.came.Add(m.limits.first)) // the one deadline until it has said who it is
+	return p
+}
+
+// hurry has a stranger judged by what has arrived of it.
+func (p *peer) hurry() { p.conn.SetReadDeadline(p.came) }
+
+// Read reads from the connection. When the deadline has passed, what arrived by then is still read: it may be we who
+// stood still.
+func (p *peer) Read(b []byte) (int, error) {
+	n, err := p.conn.Read(b)
+	if n == 0 && errors.Is(err, errTimeout) && !p.looked {
+		p.looked = true
+		p.conn.SetReadDeadline(time.Now().Add(p.limits.lastLook))
+		return p.conn.Read(b)
+	}
+	return n, err
 }
 
 // end closes the connection; the first reason stays.
@@ -91,11 +122,16 @@
 	}
 }
 
-// run plays the peer until its connection ends.
+// run plays the peer until its connection ends. A stranger is told why.
 func (p *peer) run() {
 	var writer sync.WaitGroup
 	writer.Go(p.write)
-	p.end(p.read())
+	err := p.read()
+	if p.kind == stranger && !errors.Is(err, io.EOF) {
+		p.conn.SetWriteDeadline(time.Now().Add(p.limits.lastLook))
+		p.conn.Write(refusal(err))
+	}
+	p.end(err)
 	writer.Wait()
 	if p.kind == proxy {
 		p.module.post(func() { p.module.left(p) })
@@ -126,19 +162,15 @@
 // read decodes messages until the connection ends. What is no JSON object cannot be read, and a stream that goes on
 // with such counts as left already; a message that merely makes no sense is skipped.
 func (p *peer) read() error {
-	in, parser := bufio.NewReader(p.conn), &fastjson.Parser{}
+	in, parser := bufio.NewReader(p), &fastjson.Parser{}
 	p.body = &bytes.Buffer{}
 	for {
-		most, patience := p.limits.frame, time.Time{}
+		most := p.limits.frame
 		if p.kind == stranger {
-			most, patience = p.limits.firstFrame, time.Now().Add(p.limits.first)
-			if p.probed {
-				patience = time.Now().Add(p.limits.probing)
-			}
+			most = p.limits.firstFrame
 		}
-		p.conn.SetReadDeadline(patience)
 		if err := readFrame(in, p.body, most); err != nil {
-			if p.kind == stranger && !p.probed && errors.Is(err, errTimeout) {
+			if p.kind == stranger && errors.Is(err, errTimeout) {
 				return errStranger
 			}
 			return err
@@ -160,7 +192,6 @@
 func (p *peer) take(m *fastjson.Value) error {
 	switch word := string(m.GetStringBytes("msg")); {
 	case word == "probe":
-		p.probed = true
 		if err := p.send(alive); err != nil && p.kind == stranger {
 			return err
 		}
@@ -174,12 +205,26 @@
 		p.outcomes(m)
 	case word == "demand" && p.kind != stranger:
 		p.demand(m)
+	case p.kind == stranger:
+		p.skip("not expected of a stranger")
+		return errEarly
 	default:
 		p.skip("not expected of a " + p.kind.String())
 	}
 	return nil
 }
 
+// joins has a stranger taken for what it says that it is, from when on it has no deadline.
+func (p *peer) joins(k kind, node, zone int) error {
+	p.kind, p.node, p.zone = k, node, zone
+	if err := p.known(p); err != nil {
+		p.kind = stranger
+		return err
+	}
+	p.conn.SetReadDeadline(time.Time{})
+	return nil
+}
+
 // skip notes a message that is passed over, with some of its text.
 func (p *peer) skip(why string) {
 	const shown = 160
@@ -201,11 +246,14 @@
 	return x, x >= 0 && start.Sane(x) == x
 }
 
-// eitherAt reads a figure that goes by one of two names; one that is not there is negative.
-func eitherAt(m *fastjson.Value, name, other string) float64 {
+// eitherAt reads a figure that goes by one of two names; one that is not there is negative. One that is there and not
+// usable, or above the most, spoils what it stands in.
+func eitherAt(m *fastjson.Value, name, other string, most float64, spoilt *bool) float64 {
 	for _, key := range []string{name, other} {
-		if x, ok := figureAt(m, key); ok {
+		if x, ok := figureAt(m, key); ok && x <= most {
 			return x
+		} else if m.Exists(key) {
+			*spoilt = true
 		}
 	}
 	return -1
@@ -217,10 +265,16 @@
 	return int(x), ok && x < float64(below) && x == float64(int(x))
 }
 
-// countAt reads a count of exchanges; parts of one do not exist.
-func countAt(m *fastjson.Value, key string) (int, bool) {
-	const most = 1 << 31
-	return indexAt(m, key, most)
+// spanAt reads the time that a report covers, in seconds; no time at all, or too long a one, is not usable.
+func (p *peer) spanAt(m *fastjson.Value) (int64, float64, bool) {
+	x, ok := figureAt(m, "interval")
+	span := start.Micros(x)
+	return span, float64(span) / second, ok && span > 0 && span <= p.limits.span
+}
+
+// countAt reads a count of exchanges, of which so many can come in a second; parts of one do not exist.
+func countAt(m *fastjson.Value, key string, perS, seconds float64) (int, bool) {
+	return indexAt(m, key, int(perS*max(seconds, 1))+1)
 }
 
 func (p *peer) zoneAt(m *fastjson.Value) (int, bool) {
@@ -237,8 +291,7 @@
 		p.skip("unknown zone")
 		return errRefused
 	default:
-		p.kind, p.zone = collector, zone
-		return p.known(p)
+		return p.joins(collector, -1, zone)
 	}
 	return nil
 }
@@ -254,10 +307,12 @@
 		p.skip("unknown proxy or zone")
 		return errRefused
 	}
-	usual, _ := figureAt(m, "w")
+	usual, ok := figureAt(m, "w")
+	if !ok || usual > p.limits.proxyRate {
+		usual = 0 // not known: it is served all the same
+	}
 	keeps := !m.GetBool("cold") // if nothing is said it may hold something
-	p.kind, p.node, p.zone = proxy, node, zone
-	if err := p.known(p); err != nil {
+	if err := p.joins(proxy, node, zone); err != nil {
 		return err
 	}
 	p.module.post(func() { p.module.joined(p, usual, keeps) })
@@ -273,32 +328,39 @@
 	p.module.post(func() { p.module.applied(p, mark) })
 }
 
-// outcomes is what the proxies of a zone met at a backend.
+// outcomes is what the proxies of a zone met at a backend. A report is used whole or not at all. Fields that nobody
+// reads are not looked at, but for those that show whether the others can be right: its zone and its time.
 func (p *peer) outcomes(m *fastjson.Value) {
+	_, seconds, timed := p.spanAt(m)
 	id := string(m.GetStringBytes("endpoint"))
-	tries, ok := countAt(m, "total")
-	failed, counted := countAt(m, "errors")
-	mean, timed := figureAt(m, "rtt")
-	failed = min(failed, tries)
-	if _, there := p.zoneAt(m); !ok || !counted || !there || id == "" || !timed && failed < tries {
+	tries, ok := countAt(m, "total", p.limits.fleetRate, seconds)
+	failed, counted := countAt(m, "errors", p.limits.fleetRate, seconds)
+	rtt, answered := figureAt(m, "rtt")
+	mean := start.Micros(rtt)
+	said, spoilt := m.Get("metrics"), false
+	if said != nil && said.Type() != fastjson.TypeObject {
+		spoilt = true
+	}
+	load := decide.Load{Busy: eitherAt(said, "util", "cpu", p.limits.busy, &spoilt),
+		Waiting: eitherAt(said, "queue", "waiting", p.limits.queue, &spoilt),
+		Service: 1000 * eitherAt(said, "latency_ms", "avg_ms", float64(p.limits.answer)/1000, &spoilt)}
+	if _, there := p.zoneAt(m); !ok || !counted || !there || !timed || id == "" || spoilt || failed > tries ||
+		failed < tries && (!answered || mean > p.limits.answer) {
 		p.skip("outcomes without usable figures")
 		return
 	}
-	said := m.Get("metrics")
-	load := decide.Load{Busy: eitherAt(said, "util", "cpu"), Waiting: eitherAt(said, "queue", "waiting"),
-		Service: 1000 * eitherAt(said, "latency_ms", "avg_ms")}
-	p.module.report(func() { p.module.met(id, tries, failed, start.Micros(mean), load) })
+	p.module.report(func() { p.module.met(id, tries, failed, mean, load) })
 }
 
 // demand is what came to a proxy; it may come over the proxy's stream or any collector.
 func (p *peer) demand(m *fastjson.Value) {
 	node, ok := indexAt(m, "node", p.limits.nodes)
 	class, there := p.module.classes[string(m.GetStringBytes("route"))]
-	count, counted := countAt(m, "total")
-	span, timed := figureAt(m, "interval")
+	span, seconds, timed := p.spanAt(m)
+	count, counted := countAt(m, "total", p.limits.proxyRate, seconds)
 	if !ok || !there || !counted || !timed || p.kind == proxy && node != p.node {
 		p.skip("demand without usable figures")
 		return
 	}
-	p.module.report(func() { p.module.came(node, class, count, start.Micros(span)) })
+	p.module.report(func() { p.module.came(node, class, count, span) })
 }
--- a/controller/server.go
+++ b/controller/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -14,7 +15,8 @@
 var errTimeout = os.ErrDeadlineExceeded
 
 // server takes connections in and keeps them within the socket budget: those that have not said who they are have a
-// share of their own, of which the oldest makes room, so that whoever speaks gets in.
+// share of their own, of which the oldest make room, once each has had a moment to speak, so that whoever speaks gets
+// in.
 type server struct {
 	limits *limits
 	module *module
@@ -32,7 +34,7 @@
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
 	defer s.endAll()
-	for {
+	for s.room(ctx) {
 		conn, err := listener.Accept()
 		switch {
 		case ctx.Err() != nil:
@@ -45,12 +47,9 @@
 		case err != nil: // the caller has gone again, or no descriptor is left
 			s.log.seldom("accept", "event=accept_failed error=%q", err)
 			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-				s.makeRoom(1)
-			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(s.limits.tick):
+				s.hurry(1)
 			}
+			s.pause(ctx)
 			continue
 		}
 		s.came++
@@ -58,47 +57,73 @@
 		s.mutex.Lock()
 		s.strangers = append(s.strangers, p)
 		s.mutex.Unlock()
-		s.makeRoom(0)
 		s.peers.Go(func() {
 			p.run()
 			s.forget(p)
 		})
 	}
+	return nil
+}
+
+func (s *server) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(s.limits.tick):
+	}
 }
 
-// makeRoom ends the oldest of those that have not said who they are while there are too many, and so many at least.
-func (s *server) makeRoom(least int) {
+// room waits until one more connection fits, and tells whether it does before the end. Who comes meanwhile waits in the
+// backlog of the listener.
+func (s *server) room(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		s.mutex.Lock()
+		over := max(len(s.strangers)+len(s.known)-s.limits.conns, len(s.strangers)-s.limits.strange) + 1
+		s.mutex.Unlock()
+		if over <= 0 {
+			return true
+		}
+		s.hurry(over)
+		s.pause(ctx)
+	}
+	return false
+}
+
+// hurry has the oldest strangers judged by what has arrived of them, if they had a moment to speak.
+func (s *server) hurry(many int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for ; len(s.strangers) > 0; least-- {
-		l := s.limits
-		if least <= 0 && len(s.strangers) <= l.strange && len(s.strangers)+len(s.known) <= l.conns {
-			return
+	for _, p := range s.strangers[:min(many, len(s.strangers))] {
+		if time.Since(p.came) >= s.limits.moment && !p.hurried {
+			p.hurried = true
+			p.hurry()
 		}
-		oldest := s.strangers[0]
-		s.strangers = s.strangers[1:]
-		oldest.end(errStranger)
 	}
 }
 
-// identified moves a peer to those that have said who they are. A collector too many of a zone takes the place of the
-// oldest, which may be half-open; beyond the budget the newcomer is the one to go.
+// identified moves a peer to those that have said who they are. A proxy's newer connection takes the place of the
+// older, and a collector too many of a zone that of the oldest, as they may be half-open; beyond the budget the newcomer
+// is the one to go.
 func (s *server) identified(p *peer) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.strangers = without(s.strangers, p)
+	same := 1
+	for _, other := range slices.Backward(slices.Clone(s.known)) {
+		if other.kind != p.kind || other.node != p.node || other.zone != p.zone && p.kind == collector {
+			continue
+		}
+		if same++; p.kind == proxy && other.serial > p.serial {
+			return errStale // its first words were under way for longer than the next connection took
+		}
+		if p.kind == proxy || same > s.limits.perZone {
+			s.known = without(s.known, other)
+			other.end(errReplaced)
+		}
+	}
 	if len(s.known) >= s.limits.lasting {
 		return errBudget
 	}
 	s.known = append(s.known, p)
-	same := 0
-	for i := len(s.known) - 1; i >= 0; i-- {
-		if other := s.known[i]; p.kind == collector && other.kind == collector && other.zone == p.zone {
-			if same++; same > s.limits.perZone {
-				other.end(errReplaced)
-			}
-		}
-	}
 	return nil
 }
 
@@ -107,7 +132,7 @@
 	defer s.mutex.Unlock()
 	s.strangers, s.known = without(s.strangers, p), without(s.known, p)
 	if p.kind == stranger {
-		s.log.seldom("stranger "+p.why.Error(), "event=stranger_ended peer=%s why=%q", p.conn.RemoteAddr(), p.why)
+		s.log.seldom("stranger "+cause(p.why), "event=stranger_ended peer=%s why=%q", p.conn.RemoteAddr(), p.why)
 		return
 	}
 	s.log.seldom(p.kind.String()+" ended", "event=ended peer=%s kind=%s node=%d zone=%s why=%q",
