Where proxies outnumber connections the fleet has parts; refused connections are no heat

The settings say that the smallest backend takes 80 connections (socketsMin); 150 proxies pick all 30 by turns and keep connections for 15 s. Ruled out: overload (p50 stayed at 0.2 to 0.3 s), dropped reports, spoilt reports taken (none in the log). look() counted each such failure as half an outer limit as soon as a backend's mean was over 0.3 of the expected time, so heat rose to 0.84 and a third was refused.

Changed: look() takes failures for time-outs only at backends whose answers take 0.6 of the expected time; with over 1.6 proxies for each connection of the smallest backend the fleet falls into parts of 10 backends at least, each with one table for a part of the proxies, and a part that falls short is lent all backends. A pending change of tables or levels holds binds up instead of waiting behind all of them; a cold backend is eased in by what it can do alone. State and sums moved out of decide.go to state.go, which decides nothing.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,6 +49,12 @@
 	leastLet   = 0.05      // part of its demand that the least important class keeps: we go on hearing of it
 	sameLevel  = 0.05      // levels that differ by less are one: reports are no finer
 	unlimited  = 1_000_000 // a rate no proxy reaches
+
+	// Parts of the fleet, each with a table and a part of the proxies, where backends take too few connections.
+	tooMany   = 1.6 // proxies for each connection of the smallest backend; up to there many are quiet
+	leastPart = 10  // backends in a part
+	shortPart = 0.5 // of its fair share that it has left when its proxies are given all backends ...
+	fairPart  = 0.8 // ... up to this much
 )
 
 // Controller decides for the proxies that are joined to it.
@@ -61,7 +67,8 @@
 	shared, own uint16 // classes that use the shared table, and those that use their zone's
 	backends    []*backend
 	proxies     []*proxy
-	waiting     []int // proxies to be bound, and then cleared, in the order in which they joined
+	whole       []bool // by part: its table has all backends; one part is usual
+	waiting     []int  // proxies to be bound, and then cleared, in the order in which they joined
 	channel     ledger
 	levels      admission
 	owners      ownership
@@ -72,52 +79,12 @@
 	listedOnce, fallback, pressed bool
 }
 
-// backend is all that is known of one backend.
-type backend struct {
-	Entry
-	listed, drained bool    // drained: was seen draining since it was last ready
-	line            float64 // its weight in our tables
-	out             bool    // withdrawn from whatever tables proxies hold
-	enteredAt       int64   // when it entered or returned; 0 if it was here from the start
-
-	samples         []sample // what was heard within the reply timeout, and its sums
-	tries, failed   int
-	mean            float64
-	load            Load
-	answered        int64   // when an answer was last heard of
-	unheard         int     // tries without any answer since then
-	score           float64 // mean over the median, 1 if unheard, negative if it left R
-	away            bool
-	backAt, backoff int64
-	probedAt        int64
-	strained        float64 // part of the listed weight that it is left with; 0 for all of it
-	widenAt         int64
-	since           int64 // when that was: what was heard before says nothing of its new weight
-}
-
-type sample struct {
-	at, took      int64 // took: all answered ones together
-	tries, failed int
-}
-
-type proxy struct {
-	joined, bound    bool
-	keeps, reminded  bool // keeps: may hold withdrawals of others, until it is cleared of them
-	cleared          bool // a backend's first line lets it back from then on, and costs two
-	zone             int
-	usual            float64 // exchanges a second that come to it on ordinary days
-	joinedAt, leftAt int64
-	applied          int64     // orders up to this one have come through
-	rates            []float64 // exchanges a second that come to it, by class
-	sent             []int64   // when messages went to it, within the span that is counted
-}
-
 // New makes a controller that knows nothing yet: until reports come, nothing is withdrawn for being unheard.
 func New(host Host, seed uint64, classes []Class, channel Channel, limits Limits, partition Partition,
 	sight Sight, admit Admission) *Controller {
 	c := &Controller{host: host, seed: seed, limits: limits, sight: sight, classes: classes,
 		lookedAt: host.Now(), channel: ledger{Channel: channel}, levels: newAdmission(admit, classes),
-		owners: newOwnership(partition, classes)}
+		owners: newOwnership(partition, classes), whole: make([]bool, 1)}
 	for i, class := range classes {
 		c.own |= uint16(count(class.OwnZone)) << i
 	}
@@ -135,13 +102,6 @@
 
 func (c *Controller) logf(id int, f string, a ...any) { c.host.Log(id, fmt.Sprintf(f, a...)) }
 
-func count(yes bool) int {
-	if yes {
-		return 1
-	}
-	return 0
-}
-
 // Elapsed is the beat: whatever waited for time or for room in the channel is looked at again.
 func (c *Controller) Elapsed(tag uint64) {
 	if tag != c.seed {
@@ -172,12 +132,18 @@
 func (c *Controller) Listed(whole bool, entries []Entry) {
 	now := c.host.Now()
 	c.askWait = 0
+	many := float64(c.channel.Proxies) / float64(c.channel.Connections) // without end, or no number, if not known
+	if whole && !c.listedOnce && many > tooMany && c.channel.Connections > 0 {
+		c.whole = make([]bool, max(1, min(int(math.Ceil(many)), len(entries)/leastPart)))
+	}
 	seen := make([]bool, len(c.backends))
 	for _, e := range entries {
 		for len(c.backends) <= e.Backend {
 			c.backends, seen = append(c.backends, &backend{}), append(seen, false)
 		}
-		seen[e.Backend] = true
+		if seen[e.Backend] = true; !c.backends[e.Backend].listed {
+			c.backends[e.Backend].part = c.lightest()
+		}
 		c.backends[e.Backend].relist(e, now, c.listedOnce, c.sight.LiveWeights)
 	}
 	for i, b := range c.backends {
@@ -189,6 +155,30 @@
 	c.publish(now, false)
 }
 
+// lightest is the part with the least listed weight; the fleet's changes even out so.
+func (c *Controller) lightest() int {
+	weights := make([]float64, len(c.whole))
+	for _, b := range c.backends {
+		if b.listed && b.Condition == Ready {
+			weights[b.part] += b.Weight
+		}
+	}
+	return slices.Index(weights, slices.Min(weights))
+}
+
+// short tells whether the proxies of a part are to be given all backends, as too little of it is left.
+func (c *Controller) short(part int, now int64) bool {
+	own, all, least := 0., 0., shortPart
+	for _, b := range c.backends {
+		w := c.wanted(b, now)
+		own, all = own+w*float64(count(b.part == part)), all+w
+	}
+	if c.whole[part] {
+		least = fairPart
+	}
+	return own*float64(len(c.whole)) < least*all
+}
+
 func (b *backend) relist(e Entry, now int64, entering, live bool) {
 	restarted := b.listed && e.Started > b.Started
 	// One that kept its line while a wrong list had dropped it is neither new nor cold.
@@ -272,7 +262,7 @@
 	}
 	n := len(c.classes) // it counts with its ordinary traffic until it is heard of
 	c.proxies[id] = &proxy{joined: true, bound: c.owners.exist(), keeps: keeps, zone: zone, usual: max(usual, 1),
-		joinedAt: c.host.Now(), rates: slices.Repeat([]float64{usual / float64(n)}, n)}
+		part: id % len(c.whole), joinedAt: c.host.Now(), rates: slices.Repeat([]float64{usual / float64(n)}, n)}
 	for i := range c.owners.all { // it reads lines from the store, but must hear which writes are held
 		if s := &c.owners.all[i]; s.held > 0 {
 			s.held = -1
@@ -293,19 +283,27 @@
 	c.bindWaiting(c.host.Now())
 }
 
-// tables hands out the tables that hold a zone's backends, and that its proxies use, with their classes.
-func (c *Controller) tables(zone int, do func(table int, classes uint16)) {
+// tables hands out the tables that a proxy of a part and zone uses, with their classes.
+func (c *Controller) tables(part, zone int, do func(table int, classes uint16)) {
 	for i, classes := range []uint16{c.shared, c.own} {
 		if classes != 0 {
-			do(i*(1+zone), classes)
+			do(part+i*(len(c.whole)-part+zone), classes)
 		}
 	}
 }
 
+// in tells whether a table is one that has a backend's line: its part's, or its zone's.
+func (c *Controller) in(b *backend, table int) bool {
+	if table >= len(c.whole) {
+		return c.own != 0 && table-len(c.whole) == b.Zone
+	}
+	return c.shared != 0 && (c.whole[table] || b.part == table)
+}
+
 // share is the part of its listed weight that a backend may carry now.
 func (c *Controller) share(b *backend, now int64) float64 {
 	part := cmp.Or(b.strained, 1)
-	if b.enteredAt > 0 && now-b.enteredAt < entryFor {
+	if b.enteredAt-b.Started >= c.limits.WarmBy && now-b.enteredAt < entryFor { // a cold one is eased in below
 		part = min(part, entryShare)
 	}
 	// Rule 4: a cold backend is sent what it surely can do. Steps of a quarter keep the orders few.
@@ -331,7 +329,7 @@
 
 // publish lays what differs from the standing tables. What rules need goes at once, the rest keeps the pace.
 func (c *Controller) publish(now int64, ordinary bool) {
-	bare := c.laid(-1) == 0
+	bare := !slices.ContainsFunc(c.backends, func(b *backend) bool { return b.line > 0 })
 	must := func(b *backend, want float64) bool {
 		return want < b.line && (c.cold(b, now) || c.mustLeave(b)) || want > 0 && bare
 	}
@@ -340,7 +338,14 @@
 		cost, kept = cost+float64(count(p.bound)), kept+float64(count(p.cleared))
 		strange += float64(count(p.joined && (!p.bound || c.owners.exist())))
 	}
+	due := slices.ContainsFunc(c.levels.order, c.levels.stale)
+	for part, whole := range c.whole {
+		if len(c.whole) > 1 && c.short(part, now) != whole {
+			need = max(need, cost*header) + cost*float64(len(c.backends))/float64(len(c.whole))
+		}
+	}
 	for _, b := range c.backends {
+		due = due || c.wanted(b, now) != b.line
 		if must(b, c.wanted(b, now)) || b.out != c.mustLeave(b) {
 			need = max(need, cost*header) + max(cost+kept, strange, 1)
 		}
@@ -348,8 +353,10 @@
 	if c.levels.urgent { // a cut: all that is let in meanwhile adds to a queue
 		need = max(need, header*float64(len(c.proxies)))
 	}
-	c.pressed = need > 0 && c.channel.lines+need > c.channel.Backlog // binds leave the room to it
-	if (ordinary || need > 0) && c.channel.open(c.proxies, now, c.laidAt, c.limits.Grace, need) {
+	goes := (ordinary || need > 0) && c.channel.open(c.proxies, now, c.laidAt, c.limits.Grace, need)
+	c.pressed = !goes && (ordinary && due && c.channel.lines > c.channel.Backlog/8 || // binds wait
+		need > 0 && c.channel.lines+need > c.channel.Backlog)
+	if goes {
 		laid, left, order := false, false, slices.Clone(c.backends)
 		// Where the channel is short, each line goes where it changes most.
 		gap := func(b *backend) float64 { return math.Abs(c.wanted(b, now) - b.line) }
@@ -368,6 +375,7 @@
 				laid, bare = true, bare && want == 0
 			}
 		}
+		laid = c.lend(now) || laid
 		for i, b := range c.backends { // proxies that still hold tables of others stay off these as well
 			// Once their line is gone, as long as it stands a withdrawal costs one to each bound proxy too.
 			if out := c.mustLeave(b) && b.line == 0; out != b.out && c.channel.fits(strange, true) {
@@ -384,10 +392,10 @@
 	c.bindWaiting(now)
 }
 
-// laid counts the lines that backends of a zone have, or all with zone -1.
-func (c *Controller) laid(zone int) (lines int) {
+// laid counts the lines of a table.
+func (c *Controller) laid(table int) (lines int) {
 	for _, b := range c.backends {
-		lines += count(b.line > 0 && (zone < 0 || b.Zone == zone))
+		lines += count(b.line > 0 && c.in(b, table))
 	}
 	return lines
 }
@@ -397,12 +405,34 @@
 	if b.line = weight; c.owners.exist() {
 		return // the owner of a slice is its table
 	}
-	c.tables(b.Zone, func(table int, _ uint16) {
-		c.host.SetLine(table, b.Backend, weight)
-		uses := func(p *proxy) bool { return p.bound && (table == 0 || p.zone == b.Zone) }
-		c.billEach(1, uses)
-		c.billEach(1, func(p *proxy) bool { return entering && p.cleared && uses(p) })
-	})
+	for table := range len(c.whole) + b.Zone + 1 {
+		if c.in(b, table) {
+			c.tell(b, table, weight, entering)
+		}
+	}
+}
+
+func (c *Controller) tell(b *backend, table int, weight float64, entering bool) {
+	uses := func(p *proxy) bool { return p.bound && (table == p.part || table == len(c.whole)+p.zone) }
+	c.host.SetLine(table, b.Backend, weight)
+	c.billEach(1, uses)
+	c.billEach(1, func(p *proxy) bool { return entering && p.cleared && uses(p) })
+}
+
+// lend gives the proxies of a part that is short all backends, or takes those of others away again.
+func (c *Controller) lend(now int64) (told bool) {
+	for part, whole := range c.whole {
+		if len(c.whole) == 1 || c.short(part, now) == whole {
+			continue
+		}
+		c.whole[part], told = !whole, true
+		for _, b := range c.backends {
+			if b.line > 0 && b.part != part {
+				c.tell(b, part, b.line*float64(count(!whole)), !whole)
+			}
+		}
+	}
+	return told
 }
 
 // bindWaiting gives whole tables to proxies that hold those of others, in turn, as there is room. Who waits
@@ -415,8 +445,8 @@
 	}
 	for _, i := range c.waiting {
 		p, lines, cost, bare := c.proxies[i], 0., header, false
-		c.tables(p.zone, func(table int, _ uint16) {
-			n := float64(c.laid(table - 1))
+		c.tables(p.part, p.zone, func(table int, _ uint16) {
+			n := float64(c.laid(table))
 			lines, cost, bare = lines+n, cost+n+1, bare || n == 0
 		})
 		ready := p.joined && !c.pressed && !bare && c.channel.fits(cost, false) && c.channel.may(p, now, false)
@@ -424,7 +454,7 @@
 		case ready && !p.bound:
 			p.bound, bound = true, 1
 			c.bill(p, cost-c.channel.Head)
-			c.tables(p.zone, func(table int, classes uint16) { c.host.Bind(table, i, classes) })
+			c.tables(p.part, p.zone, func(table int, classes uint16) { c.host.Bind(table, i, classes) })
 		case ready && p.keeps && !p.cleared && unbound+bound == 0 && c.channel.fits(lines+spare, false):
 			p.cleared = true
 			c.bill(p, lines)
@@ -498,29 +528,6 @@
 	return away + b.Weight
 }
 
-func (b *backend) tally(now int64) {
-	b.samples = slices.DeleteFunc(b.samples, func(s sample) bool { return s.at <= now-replyTimeout })
-	took := int64(0)
-	b.tries, b.failed, b.mean = 0, 0, 0
-	for _, s := range b.samples {
-		if s.at > b.since {
-			b.tries, b.failed, took = b.tries+s.tries, b.failed+s.failed, took+s.took
-		}
-	}
-	if b.failed < b.tries {
-		b.mean = float64(took) / float64(b.tries-b.failed)
-	}
-}
-
-func (b *backend) answers() float64 { return 1 - float64(b.failed)/float64(max(b.tries, 1)) }
-
-func middle(values []float64, none float64) float64 {
-	if slices.Sort(values); len(values) > 0 {
-		return values[len(values)/2]
-	}
-	return none
-}
-
 // strain takes weight off a backend at which alone a queue must stand; hurts where times differ by nature.
 func (c *Controller) strain(id int, now int64) {
 	b := c.backends[id]
@@ -578,7 +585,7 @@
 	outer      float64 // longest outer limit, microseconds
 	expected   float64 // expected time of the mean exchange let in, microseconds
 	able       float64 // units a second answered while a queue stood, over heard, see look
-	part, kept float64 // of what is able to be answered, 0 until a queue was seen; and when that is gone
+	part       float64 // of what is able to be answered; 0 until a queue was seen
 	limit      float64 // units a second
 	bound      bool    // more comes than that
 	urgent     bool    // a cut is to be told
@@ -607,13 +614,6 @@
 
 func (b *backend) carried() float64 { return b.line / cmp.Or(b.strained, 1) } // strain takes no capacity away
 
-// reading is what the reports since the last look say.
-type reading struct {
-	heat, median        float64 // of all answers, and that of the median backend
-	came, let, answered float64 // units a second, at all, past the levels, and by backends that keep up
-	laid, heard, dead   float64 // weight in lines, that keeps up, that answers nothing, times ordinary traffic
-}
-
 func (c *Controller) look(now int64) (r reading) {
 	a := &c.levels
 	var means []float64
@@ -641,8 +641,9 @@
 		if b.line > 0 && b.score < strainAt {
 			answers, r.heard = answers+answered, r.heard+b.carried()*told
 		}
-		// Failures of one that answers late are time-outs in its queue; others, like lost answers, are work.
-		if mean > calmAt*a.expected {
+		// Failures of one that answers late are time-outs in its queue; others, like lost answers or connections
+		// that it does not take, are none.
+		if mean > incredible*a.expected {
 			tries, took = tries+failed, took+float64(failed)*a.outer/2
 		} else {
 			answers += failed
@@ -706,12 +707,13 @@
 		return
 	}
 	was, idle := a.bound, r.heat < incredible && c.idle(r.heat*a.expected)
-	rests := r.median < calmAt && r.heat < hotAt // most have no queue, whatever a few have
+	rests := r.median < calmAt && r.heat < hotAt                      // most have no queue, whatever a few have
+	most := 1 - (1-leastCut)*max(0, min(1, (r.heat-hotAt)/(1-hotAt))) // a short queue stands before all is used
 	lag := c.sight.ReportEvery + c.channel.LongestWay + second
 	switch {
 	case now < a.holdUntil:
 		if now >= a.drainedAt {
-			a.part = a.kept
+			a.part = most
 		}
 	case r.heat > hotAt && r.median > calmAt && !idle:
 		able := min(r.answered/r.heard, ahead*r.let/r.laid) // as a queue stands, hardly more than was let in
@@ -722,8 +724,7 @@
 		// The queue before a new exchange, in seconds of work, with what came while we did not know.
 		queue := (r.heat - restAt) * a.expected / float64(second)
 		queue += max(0, r.let/(a.able*(r.laid-r.dead))-1) * float64(lag/2) / float64(second)
-		a.kept = 1 - (1-leastCut)*min(1, (r.heat-hotAt)/(1-hotAt)) // a short queue stands before all is used
-		a.part = max(deepestCut, a.kept-queue*float64(second)/float64(drain))
+		a.part = max(deepestCut, most-queue*float64(second)/float64(drain))
 		a.drainedAt, a.holdUntil, a.urgent = now+drain, now+drain+lag, true
 	case a.part > 0 && r.came > a.limit && (idle || rests || r.heat < calmAt):
 		a.part *= 1 + easeUp + (easeFast-easeUp)*float64(count(idle || rests))
@@ -768,28 +769,20 @@
 	}
 }
 
-// waterline caps rates so that they add up to a total below theirs.
-func waterline(rates []float64, total float64) float64 {
-	slices.Sort(rates)
-	for i, r := range rates {
-		if rest := float64(len(rates) - i); r*rest >= total {
-			return total / rest
-		}
-		total -= r
-	}
-	return unlimited
+func (a *admission) stale(class int) bool {
+	gap := math.Abs(a.want[class] - a.laid[class])
+	return gap > 0 && gap >= sameLevel*a.laid[class]
 }
 
 func (c *Controller) layLevels() bool {
 	a, laid := &c.levels, false
 	for class := range c.classes {
-		want, old := a.want[class], a.laid[class]
-		if want == old || old > 0 && want < (1+sameLevel)*old && want > (1-sameLevel)*old {
+		if !a.stale(class) {
 			continue
 		}
-		a.laid[class], laid = want, true
-		allowance, tries := want, TryOnce // a further try would only add to the queue
-		if want == 0 {
+		a.laid[class], laid = a.want[class], true
+		allowance, tries := a.want[class], TryOnce // a further try would only add to the queue
+		if allowance == 0 {
 			allowance, tries = unlimited, TryAfterProof
 		}
 		c.host.Admit(AllTables, 1<<class, allowance, tries)
@@ -839,27 +832,6 @@
 	}
 }
 
-// applied takes a mark that came back, and gives the number of the orders that carried it.
-func (l *ledger) applied(mark int) int64 {
-	number := l.count - (l.count-int64(mark))&0xffff
-	for i := range l.waiting {
-		if o := &l.waiting[i]; o.count == number {
-			o.lines -= o.lines / float64(max(o.reached, 1))
-			o.reached--
-			l.drop(i + count(o.reached <= 0))
-			break
-		}
-	}
-	return number
-}
-
-func (l *ledger) drop(n int) {
-	l.waiting, l.lines = l.waiting[n:], 0
-	for _, o := range l.waiting {
-		l.lines += o.lines
-	}
-}
-
 // expire forgets orders whose marks will not come, even at a quarter of the channel's usual speed.
 func (l *ledger) expire(now int64) {
 	for len(l.waiting) > 0 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -451,6 +451,63 @@
 	})
 }
 
+func TestParts(t *testing.T) {
+	// Found on days of 150 proxies: each opened a connection to all backends, of which the smallest take 80.
+	x := usual()
+	x.channel.Proxies, x.channel.Connections, x.channel.Backlog = 150, 80, 3300
+	holds := func(s *stage, part int) (n int) {
+		for b := range s.tables[part] {
+			n += count(s.tables[part][b] > 0)
+		}
+		return n
+	}
+	t.Run("where proxies outnumber connections there are two tables, and each proxy is bound to one", func(t *testing.T) {
+		s := begin(t, x, 30, 10)
+		if holds(s, 0) != 15 || holds(s, 1) != 15 || len(s.tables) != 2 || !s.bound["4 0 3"] || !s.bound["5 1 3"] {
+			t.Errorf("tables %v, bound %v", s.tables, s.bound)
+		}
+		s.plays(3, func() { s.fine() })
+		old := s.c.backends[7].part
+		s.lists(7, 8, Gone, 0)
+		s.plays(3, func() { s.fine() })
+		s.lists(30, 31, Ready, 0)
+		if s.plays(3, func() { s.fine() }); s.c.backends[30].part != old || s.tables[old][30] == 0 || s.tables[1-old][30] != 0 {
+			t.Errorf("the new one is in part %d, the one it replaces was in %d: %v", s.c.backends[30].part, old, s.tables)
+		}
+	})
+	t.Run("proxies whose part falls short are given all, until it is whole again", func(t *testing.T) {
+		s := begin(t, x, 30, 10)
+		s.plays(3, func() { s.fine() })
+		var of []int
+		for b := range 30 {
+			if s.c.backends[b].part == 1 {
+				of = append(of, b)
+			}
+		}
+		for _, b := range of {
+			s.lists(b, b+1, Draining, 0)
+		}
+		if s.plays(3, func() { s.fine(of...) }); holds(s, 1) != 15 || holds(s, 0) != 15 {
+			t.Errorf("all of a part drains: %d and %d lines", holds(s, 0), holds(s, 1))
+		}
+		for _, b := range of[3:] {
+			s.lists(b, b+1, Ready, 0)
+		}
+		if s.plays(12, func() { s.fine(of[:3]...) }); holds(s, 1) != 12 || holds(s, 0) != 15 {
+			t.Errorf("most of it is back: %d and %d lines", holds(s, 0), holds(s, 1))
+		}
+	})
+	t.Run("few proxies, few backends, or connections that nobody tells of leave one table", func(t *testing.T) {
+		for _, y := range [][3]int{{120, 80, 30}, {150, 80, 19}, {150, 0, 30}} {
+			z := x
+			z.channel.Proxies, z.channel.Connections = y[0], y[1]
+			if s := begin(t, z, y[2], 2); len(s.tables) != 1 || holds(s, 0) != y[2] {
+				t.Errorf("%v: tables %v", y, s.tables)
+			}
+		}
+	})
+}
+
 func TestLevels(t *testing.T) {
 	t.Run("importance goes first, nothing is tried again, and all comes back", func(t *testing.T) {
 		s := begin(t, usual(), 8, 3)
@@ -576,6 +633,19 @@
 			t.Errorf("%.1f units thought able to be answered for three", able)
 		}
 	})
+	t.Run("connections that backends do not take are no queue", func(t *testing.T) {
+		// Found on days of 150 proxies: a third of the tries found no connection, and each counted as a time-out.
+		s := begin(t, usual(), 8, 3)
+		s.plays(8, func() {
+			for b := range 8 {
+				s.hears(b, 15, 5, 380_000)
+			}
+			s.comes(20, 20)
+		})
+		if len(s.levels) > 0 {
+			t.Errorf("levels %v at a heat of %.2f", s.levels, s.c.levels.heat)
+		}
+	})
 	t.Run("a short queue cuts little, a long one more, and none all", func(t *testing.T) {
 		// Found on a day of churn: at a heat just over the threshold a third was refused for ten seconds.
 		kept := func(mean int64, came int) float64 {
--- a/decide/host.go
+++ b/decide/host.go
@@ -106,6 +106,8 @@
 	LongestWay   int64
 	MessagesMost int
 	MessagesSpan int64
+	Proxies      int // that exist, at all controllers
+	Connections  int // that the smallest backend takes; 0 if nobody says
 }
 
 // Limits are the figures of the rules.
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,116 @@
+package decide
+
+// This file holds what is kept of backends, proxies and orders, and sums over it. Nothing is decided here.
+
+import "slices"
+
+// backend is all that is known of one backend.
+type backend struct {
+	Entry
+	part            int     // of the fleet that it is in
+	listed, drained bool    // drained: was seen draining since it was last ready
+	line            float64 // its weight in our tables
+	out             bool    // withdrawn from whatever tables proxies hold
+	enteredAt       int64   // when it entered or returned; 0 if it was here from the start
+
+	samples         []sample // what was heard within the reply timeout, and its sums
+	tries, failed   int
+	mean            float64
+	load            Load
+	answered        int64   // when an answer was last heard of
+	unheard         int     // tries without any answer since then
+	score           float64 // mean over the median, 1 if unheard, negative if it left R
+	away            bool
+	backAt, backoff int64
+	probedAt        int64
+	strained        float64 // part of the listed weight that it is left with; 0 for all of it
+	widenAt         int64
+	since           int64 // when that was: what was heard before says nothing of its new weight
+}
+
+type sample struct {
+	at, took      int64 // took: all answered ones together
+	tries, failed int
+}
+
+type proxy struct {
+	joined, bound    bool
+	keeps, reminded  bool // keeps: may hold withdrawals of others, until it is cleared of them
+	cleared          bool // a backend's first line lets it back from then on, and costs two
+	zone, part       int
+	usual            float64 // exchanges a second that come to it on ordinary days
+	joinedAt, leftAt int64
+	applied          int64     // orders up to this one have come through
+	rates            []float64 // exchanges a second that come to it, by class
+	sent             []int64   // when messages went to it, within the span that is counted
+}
+
+func count(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+func (b *backend) tally(now int64) {
+	b.samples = slices.DeleteFunc(b.samples, func(s sample) bool { return s.at <= now-replyTimeout })
+	took := int64(0)
+	b.tries, b.failed, b.mean = 0, 0, 0
+	for _, s := range b.samples {
+		if s.at > b.since {
+			b.tries, b.failed, took = b.tries+s.tries, b.failed+s.failed, took+s.took
+		}
+	}
+	if b.failed < b.tries {
+		b.mean = float64(took) / float64(b.tries-b.failed)
+	}
+}
+
+func (b *backend) answers() float64 { return 1 - float64(b.failed)/float64(max(b.tries, 1)) }
+
+func middle(values []float64, none float64) float64 {
+	if slices.Sort(values); len(values) > 0 {
+		return values[len(values)/2]
+	}
+	return none
+}
+
+// waterline caps rates so that they add up to a total below theirs.
+func waterline(rates []float64, total float64) float64 {
+	slices.Sort(rates)
+	for i, r := range rates {
+		if rest := float64(len(rates) - i); r*rest >= total {
+			return total / rest
+		}
+		total -= r
+	}
+	return unlimited
+}
+
+// applied takes a mark that came back, and gives the number of the orders that carried it.
+func (l *ledger) applied(mark int) int64 {
+	number := l.count - (l.count-int64(mark))&0xffff
+	for i := range l.waiting {
+		if o := &l.waiting[i]; o.count == number {
+			o.lines -= o.lines / float64(max(o.reached, 1))
+			o.reached--
+			l.drop(i + count(o.reached <= 0))
+			break
+		}
+	}
+	return number
+}
+
+func (l *ledger) drop(n int) {
+	l.waiting, l.lines = l.waiting[n:], 0
+	for _, o := range l.waiting {
+		l.lines += o.lines
+	}
+}
+
+// reading is what the reports since the last look say.
+type reading struct {
+	heat, median        float64 // of all answers, and that of the median backend
+	came, let, answered float64 // units a second, at all, past the levels, and by backends that keep up
+	laid, heard, dead   float64 // weight in lines, that keeps up, that answers nothing, times ordinary traffic
+}
--- a/internal/start/facts.go
+++ b/internal/start/facts.go
@@ -196,6 +196,8 @@
 		LongestWay:   f.Span("familyInfo.pushDelayMax"),
 		MessagesMost: int(min(f.Maybe("familyInfo.messagesMost", 0), math.MaxInt32)),
 		MessagesSpan: Micros(f.Maybe("familyInfo.messagesOver", 0)),
+		Proxies:      int(min(f.Maybe("familyInfo.proxyCount", 0), math.MaxUint16)),
+		Connections:  int(min(f.Maybe("familyInfo.socketsMin", 0), math.MaxUint16)),
 	}
 }
 
