--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,7 @@
 	drain      = 2 * pace  // a queue is drained within this; orders keep the pace, so not faster
 	ahead      = 1.15      // of what is answered now: a limit further ahead is none when it is needed
 	easeUp     = 0.04      // wider at each look while calm, and ...
-	easeFast   = 0.15      // ... while most backends have no queue
+	easeFast   = 0.15      // ... while most backends have no queue, three times that when none has
 	idleAt     = 0.8       // backends less busy, or with less waiting on average, have no queue
 	elsewhere  = 0.67      // part of the answer time that their service takes at most then
 	incredible = 0.6       // heat at which that is not believed: the figures may be old, or wrong
@@ -132,7 +132,7 @@
 func (c *Controller) Listed(whole bool, entries []Entry) {
 	now := c.host.Now()
 	c.askWait = 0
-	many := float64(c.channel.Proxies) / float64(c.channel.Connections) // without end, or no number, if not known
+	many := float64(c.channel.Proxies) / float64(c.channel.Connections)
 	if whole && !c.listedOnce && many > tooMany && c.channel.Connections > 0 {
 		c.whole = make([]bool, max(1, min(int(math.Ceil(many)), len(entries)/leastPart)))
 	}
@@ -710,24 +710,29 @@
 	rests := r.median < calmAt && r.heat < hotAt                      // most have no queue, whatever a few have
 	most := 1 - (1-leastCut)*max(0, min(1, (r.heat-hotAt)/(1-hotAt))) // a short queue stands before all is used
 	lag := c.sight.ReportEvery + c.channel.LongestWay + second
+	queue := max(0, r.heat-restAt) * a.expected // before a new exchange, as time
 	switch {
 	case now < a.holdUntil:
-		if now >= a.drainedAt {
-			a.part = most
+		// What is heard now is late: half of the queue that it shows may be gone.
+		if part := max(deepestCut, most-queue/2/float64(drain)); now >= a.drainedAt || part < a.part {
+			a.part = part
 		}
 	case r.heat > hotAt && r.median > calmAt && !idle:
 		able := min(r.answered/r.heard, ahead*r.let/r.laid) // as a queue stands, hardly more than was let in
 		if a.able == 0 {
 			a.able = able
 		}
-		a.able = min((a.able+able)/2, jammed*able) // what was proven before a cut or a loss holds no more
-		// The queue before a new exchange, in seconds of work, with what came while we did not know.
-		queue := (r.heat - restAt) * a.expected / float64(second)
-		queue += max(0, r.let/(a.able*(r.laid-r.dead))-1) * float64(lag/2) / float64(second)
-		a.part = max(deepestCut, most-queue*float64(second)/float64(drain))
+		a.able = min((a.able+able)/2, jammed*able) // what was proven before a cut holds no more
+		// What came while we did not know is in the queue as well.
+		queue += max(0, r.let/(a.able*(r.laid-r.dead))-1) * float64(lag/2)
+		a.part = max(deepestCut, most-queue/float64(drain))
 		a.drainedAt, a.holdUntil, a.urgent = now+drain, now+drain+lag, true
 	case a.part > 0 && r.came > a.limit && (idle || rests || r.heat < calmAt):
-		a.part *= 1 + easeUp + (easeFast-easeUp)*float64(count(idle || rests))
+		wider := easeUp
+		if idle || rests {
+			wider = easeFast * (1 + 2*max(0, min(1, (calmAt-r.heat)/(calmAt-restAt))))
+		}
+		a.part = min(a.part*(1+wider*r.heard/r.laid), ahead*r.came/(a.able*r.laid)) // as far as we know of it
 	}
 	a.limit = a.part * a.able * r.laid
 	if a.bound = a.part > 0 && r.came > a.limit; was != a.bound {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -663,6 +663,26 @@
 			t.Errorf("kept %.2f, %.2f and %.2f", little, more, most)
 		}
 	})
+	t.Run("a jam that grows hotter after the cut is cut deeper, and a cold fleet let in again within seconds", func(t *testing.T) {
+		// Found on a day of churn: the limit went up while heat did, and a third was refused for 25 s at idle backends.
+		s := begin(t, usual(), 8, 3)
+		at := func(mean int64) func() {
+			return func() {
+				for b := range 8 {
+					s.hears(b, 10, 0, mean)
+				}
+				s.comes(20, 20)
+			}
+		}
+		s.plays(2, at(700_000))
+		first := s.c.levels.part
+		if s.plays(2, at(2500_000)); s.c.levels.part > first-0.15 || s.c.levels.part < deepestCut {
+			t.Errorf("kept %.2f, then %.2f", first, s.c.levels.part)
+		}
+		if s.plays(12, at(230_000)); s.c.levels.bound {
+			t.Errorf("still bound at %.1f", s.c.levels.limit)
+		}
+	})
 	t.Run("what was proven before does not hold in a jam that answers less", func(t *testing.T) {
 		// Found by a hunt: the limit stood at twice what was answered, let all in, and cold ones fell over.
 		s := begin(t, usual(), 8, 3)
