--- a/decide/decide.go
+++ b/decide/decide.go
@@ -643,7 +643,7 @@
 		}
 		// Failures of one that answers late are time-outs in its queue; others, like lost answers or connections
 		// that it does not take, are none.
-		if mean > incredible*a.expected {
+		if mean > hotAt*a.expected {
 			tries, took = tries+failed, took+float64(failed)*a.outer/2
 		} else {
 			answers += failed
@@ -708,13 +708,12 @@
 	}
 	was, idle := a.bound, r.heat < incredible && c.idle(r.heat*a.expected)
 	rests := r.median < calmAt && r.heat < hotAt                      // most have no queue, whatever a few have
-	most := 1 - (1-leastCut)*max(0, min(1, (r.heat-hotAt)/(1-hotAt))) // a short queue stands before all is used
 	lag := c.sight.ReportEvery + c.channel.LongestWay + second
 	queue := max(0, r.heat-restAt) * a.expected // before a new exchange, as time
 	switch {
 	case now < a.holdUntil:
 		// What is heard now is late: half of the queue that it shows may be gone.
-		if part := max(deepestCut, most-queue/2/float64(drain)); now >= a.drainedAt || part < a.part {
+		if part := max(deepestCut, leastCut-queue/2/float64(drain)); now >= a.drainedAt || part < a.part {
 			a.part = part
 		}
 	case r.heat > hotAt && r.median > calmAt && !idle:
@@ -725,7 +724,7 @@
 		a.able = min((a.able+able)/2, jammed*able) // what was proven before a cut holds no more
 		// What came while we did not know is in the queue as well.
 		queue += max(0, r.let/(a.able*(r.laid-r.dead))-1) * float64(lag/2)
-		a.part = max(deepestCut, most-queue/float64(drain))
+		a.part = max(deepestCut, leastCut-queue/float64(drain))
 		a.drainedAt, a.holdUntil, a.urgent = now+drain, now+drain+lag, true
 	case a.part > 0 && r.came > a.limit && (idle || rests || r.heat < calmAt):
 		wider := easeUp
