--- a/decide/decide.go
+++ b/decide/decide.go
@@ -707,7 +707,7 @@
 		return
 	}
 	was, idle := a.bound, r.heat < incredible && c.idle(r.heat*a.expected)
-	rests := r.median < calmAt && r.heat < hotAt                      // most have no queue, whatever a few have
+	rests := r.median < calmAt && r.heat < hotAt // most have no queue, whatever a few have
 	lag := c.sight.ReportEvery + c.channel.LongestWay + second
 	queue := max(0, r.heat-restAt) * a.expected // before a new exchange, as time
 	switch {
