--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,7 +40,7 @@
 	deepestCut = 0.3       // a cut leaves this much: the queue is a guess, and what waits too long is dropped
 	drain      = 2 * pace  // a queue is drained within this; orders keep the pace, so not faster
 	ahead      = 1.15      // of what is answered now: a limit further ahead is none when it is needed
-	easeUp     = 0.04      // wider at each look while calm, and ...
+	easeUp     = 0.08      // wider at each look below the heat of a cut, and ...
 	easeFast   = 0.15      // ... while most backends have no queue, three times that when none has
 	idleAt     = 0.8       // backends less busy, or with less waiting on average, have no queue
 	elsewhere  = 0.67      // part of the answer time that their service takes at most then
@@ -726,7 +726,7 @@
 		queue += max(0, r.let/(a.able*(r.laid-r.dead))-1) * float64(lag/2)
 		a.part = max(deepestCut, leastCut-queue/float64(drain))
 		a.drainedAt, a.holdUntil, a.urgent = now+drain, now+drain+lag, true
-	case a.part > 0 && r.came > a.limit && (idle || rests || r.heat < calmAt):
+	case a.part > 0 && r.came > a.limit && (idle || r.heat < hotAt):
 		wider := easeUp
 		if idle || rests {
 			wider = easeFast * (1 + 2*max(0, min(1, (calmAt-r.heat)/(calmAt-restAt))))
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -646,6 +646,24 @@
 			t.Errorf("levels %v at a heat of %.2f", s.levels, s.c.levels.heat)
 		}
 	})
+	t.Run("where the ordinary heat lies just under that of a cut, the limit is widened all the same", func(t *testing.T) {
+		// Found in incident r366c98: at a heat of 0.40 and a median of 0.32 half was refused until the end of the day.
+		s := begin(t, usual(), 8, 3)
+		at := func(mean int64) func() {
+			return func() {
+				for b := range 8 {
+					s.hears(b, 10, 0, mean)
+				}
+				s.comes(20, 20)
+			}
+		}
+		if s.plays(2, at(560_000)); !s.c.levels.bound {
+			t.Fatal("no cut")
+		}
+		if s.plays(20, at(430_000)); s.c.levels.bound {
+			t.Errorf("still bound at %.1f, heat %.2f", s.c.levels.limit, s.c.levels.heat)
+		}
+	})
 	t.Run("a longer queue is cut deeper, but none to nearly nothing", func(t *testing.T) {
 		// Found on a day of reloads: a queue guessed too long cut to a tenth for eight seconds.
 		kept := func(mean int64, came int) float64 {
