Log lines about strangers are told apart by what lies at the bottom of an error

Seen by reading: the sort of a stranger's line held the byte counts and addresses of its error, so 1,024 different ones could each be written and kept (server.go forget). Now the innermost error is the sort.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -460,7 +460,7 @@
 		}
 	})
 	t.Run("a stranger has one deadline, whatever it says and however slowly", func(t *testing.T) {
-		address, _ := serves(t, discovers(t).address, two, func(l *limits) { l.first = 300 * time.Millisecond })
+		address, said := serves(t, discovers(t).address, two, func(l *limits) { l.first = 300 * time.Millisecond })
 		began, push := time.Now(), `{"msg":"push","out":["s-0"]}`
 		for what, bad := range map[string]string{"a report before it joined": string(framed(reports)),
 			"usage before it joined": string(framed(usage)), "a mark": string(framed(`{"msg":"ack","node":3,"nonce":1}`)),
@@ -472,6 +472,15 @@
 				t.Errorf("%s: it was not refused", what)
 			}
 		}
+		for size := range 40 { // each breaks off elsewhere, and that is one sort of line
+			c := calls(t, address)
+			c.Write(framed(hello)[:5+size])
+			c.Close()
+		}
+		said.waits(t, "event=stranger_ended", 3)
+		if text, _ := said.read(); strings.Count(text, "event=stranger_ended") > 10 {
+			t.Errorf("too much is said of strangers: %s", text)
+		}
 		if spent := time.Since(began); spent > 2*time.Second {
 			t.Errorf("all that took %v", spent) // only those that are not done saying something wait for the deadline
 		}
--- a/controller/peer.go
+++ b/controller/peer.go
@@ -39,6 +39,14 @@
 	return err.Error()
 }
 
+// sort is the error at the bottom of one: a few different ones, however often a stranger thinks of new numbers.
+func sort(err error) string {
+	for inner := errors.Unwrap(err); inner != nil; inner = errors.Unwrap(err) {
+		err = inner
+	}
+	return err.Error()
+}
+
 // kind is what a connection has said that it is.
 type kind uint8
 
--- a/controller/server.go
+++ b/controller/server.go
@@ -132,7 +132,7 @@
 	defer s.mutex.Unlock()
 	s.strangers, s.known = without(s.strangers, p), without(s.known, p)
 	if p.kind == stranger {
-		s.log.seldom("stranger "+cause(p.why), "event=stranger_ended peer=%s why=%q", p.conn.RemoteAddr(), p.why)
+		s.log.seldom("stranger "+sort(p.why), "event=stranger_ended peer=%s why=%q", p.conn.RemoteAddr(), p.why)
 		return
 	}
 	s.log.seldom(p.kind.String()+" ended", "event=ended peer=%s kind=%s node=%d zone=%s why=%q",
