--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Build, test, lint and run, with the commands that CI uses.
+# Build, test, lint and run, with the commands that CI uses. Building needs a C compiler.
 
 .PHONY: build test lint run fuzz
 
