A mark that waits in the channel behind thousands of lines no longer ends a live stream

After four of five controllers died at 17.4 s the fifth held 2,184 proxies; from 27.3 s on it ended 1,038 of their streams: 'event=lost node=118 why="it is silent and leaves marks unanswered"', 9.6 s after 'event=joined node=118'. Node 118 was alive and joined another controller 0.7 s later. Ruled out: dead proxies (all joined again), lost marks (no event=mark_unknown), reports dropped (none). A probe that logs the account each second shows 36,000 lines waiting at 900 a second, so an answer takes 40 s; findSilent in controller/module.go counted 9.6 s from the order on (limits.silence: two ways, three report periods and a stall). Change: a mark is due only when all that waits can have left the channel, as the decisions reckon it (Delay); silence counts from then.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -84,6 +84,21 @@
 			t.Errorf("gone %v, talks %v, quiet %v", m.current(gone), m.current(talks), m.current(quiet))
 		}
 	})
+	t.Run("a stream whose mark waits in the channel behind others is not half-open", func(t *testing.T) {
+		m, _ := begin(t)
+		p := joins(t, m, 1, 0, false)
+		one := *m.joins[0].waiting[0]
+		one.due += 30 * second // as where thousands join at once
+		m.joins[0].waiting[0] = &one
+		later(m, 20*second, func() {})
+		if !m.current(p) {
+			t.Error("given up while its mark waited")
+		}
+		later(m, 20*second, func() {})
+		if m.current(p) {
+			t.Error("never given up")
+		}
+	})
 	t.Run("after standing still ourselves nobody is taken for silent", func(t *testing.T) {
 		m, said := begin(t)
 		p := joins(t, m, 1, 0, false)
--- a/controller/module.go
+++ b/controller/module.go
@@ -44,8 +44,8 @@
 
 // mark is one that went out at some clock time, to however many proxies.
 type mark struct {
-	number       int
-	at, answered int64 // answered: when the first of them did
+	number        int
+	due, answered int64 // due: when the last of them can have left; answered: when the first of them did
 }
 
 type timer struct {
@@ -134,7 +134,7 @@
 	var one *mark
 	m.flush(m.lose, func(proxy, number int) {
 		if one == nil {
-			one = &mark{number: number, at: m.now}
+			one = &mark{number: number, due: m.now + m.control.Delay()}
 		}
 		j := m.joins[proxy]
 		if j.waiting = append(j.waiting, one); len(j.waiting) > m.limits.marks {
@@ -296,15 +296,16 @@
 
 // findSilent ends streams that are half-open. They say nothing and cannot be told from quiet ones but by marks that
 // stay unanswered, so both are asked for.
-// Where other proxies have answered the same mark, less time will do: messages leave the channel one by one. While we
-// stood still ourselves we heard nobody, which says nothing of them.
+// Messages leave the channel one by one, so time counts from when all that waits can have left.
+// Where other proxies have answered the same mark, less time will do. While we stood still ourselves we heard nobody,
+// which says nothing of them.
 func (m *module) findSilent() {
 	for node, j := range m.joins {
 		if j == nil || len(j.waiting) == 0 {
 			continue
 		}
 		oldest, unheard := j.waiting[0], m.now-max(j.peer.heard.Load(), m.stood)
-		if min(m.now-oldest.at, unheard) > m.limits.silence ||
+		if min(m.now-oldest.due, unheard) > m.limits.silence ||
 			oldest.answered > 0 && min(m.now-oldest.answered, unheard) > m.limits.lag {
 			m.lose(node, errSilent)
 		}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -880,6 +880,11 @@
 	}
 }
 
+// Delay is how long what waits in the channel takes to leave, in microseconds: a mark is not answered before.
+func (c *Controller) Delay() int64 {
+	return int64(c.channel.lines / max(c.channel.LinesPerS, 1) * float64(second))
+}
+
 // expire forgets orders whose marks will not come, even at a quarter of the channel's usual speed.
 func (l *ledger) expire(now int64) {
 	for len(l.waiting) > 0 {
