The channel stays short at size, the busiest proxies are bound first, old news cuts nothing

Ruled out: CPU (0.68 s in the worst second), descriptors, lost marks, reports dropped (none logged). Change: no more may wait than two paces take to send (four seconds; less than that was the backlog everywhere so far); lines are charged to the proxies of their part and laid part by part; those who wait are bound by their traffic, after those that have waited for half the grace, and told nothing else where a table costs little more and all come within the grace; a short part is given single backends of the largest in place of all; Channel.Levels says what goes along with each message; where reports cover more than the longest outer limit, a cut needs heat that outlasts them.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -202,9 +202,10 @@
 	c.log.say("event=serving name=%s listen=%s discovery=%s proxies=%d strangers=%d sockets=%d", place.Name,
 		listener.Addr(), place.Discovery, c.limits.nodes, c.limits.strange, c.limits.sockets)
 	c.log.say("event=given lines_per_s=%.0f backlog=%.0f head=%.0f way_s=%.2f messages=%d messages_span_s=%.0f grace_s=%.1f "+
-		"warm_s=%.0f report_s=%.1f connections=%d memory_mb=%d", channel.LinesPerS, channel.Backlog, channel.Head,
+		"warm_s=%.0f report_s=%.1f reports_per_s=%.0f "+
+		"connections=%d memory_mb=%d", channel.LinesPerS, channel.Backlog, channel.Head,
 		float64(channel.LongestWay)/second, channel.MessagesMost, float64(channel.MessagesSpan)/second,
-		float64(rules.Grace)/second, float64(rules.WarmBy)/second, float64(sight.ReportEvery)/second,
+		float64(rules.Grace)/second, float64(rules.WarmBy)/second, float64(sight.ReportEvery)/second, sight.LinesPerS,
 		channel.Connections, c.limits.memory>>20)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,8 +54,8 @@
 	// Parts of the fleet, each with a table and a part of the proxies, where backends take too few connections.
 	tooMany   = 1.6 // proxies for each connection of the smallest backend; up to there many are quiet
 	leastPart = 10  // backends in a part
-	shortPart = 0.5 // of its fair share that it has left when its proxies are given all backends ...
-	fairPart  = 0.8 // ... up to this much
+	shortPart = 0.5 // of its fair share that it has left when it is given backends of the largest part ...
+	fairPart  = 0.8 // ... until it has this much
 )
 
 // Controller decides for the proxies that are joined to it.
@@ -68,15 +68,16 @@
 	shared, own uint16 // classes that use the shared table, and those that use their zone's
 	backends    []*backend
 	proxies     []*proxy
-	whole       []bool // by part: its table has all backends; one part is usual
-	waiting     []int  // proxies to be bound, and then cleared, in the order in which they joined
+	parts       int   // one is usual
+	waiting     []int // proxies to be bound, and then cleared, those with most traffic first
 	channel     ledger
 	levels      admission
 	owners      ownership
 
 	publishedAt, laidAt, lookedAt, askAt, askWait int64
 
-	tries                         int // heard of since the last look
+	tries                         int     // heard of since the last look
+	every                         float64 // microseconds that a report covers of late: news is as old
 	listedOnce, fallback, pressed bool
 }
 
@@ -85,7 +86,7 @@
 	sight Sight, admit Admission) *Controller {
 	c := &Controller{host: host, seed: seed, limits: limits, sight: sight, classes: classes,
 		lookedAt: host.Now(), channel: ledger{Channel: channel}, levels: newAdmission(admit, classes),
-		owners: newOwnership(partition, classes), whole: make([]bool, 1)}
+		owners: newOwnership(partition, classes), parts: 1}
 	for i, class := range classes {
 		c.own |= uint16(count(class.OwnZone)) << i
 	}
@@ -135,7 +136,7 @@
 	c.askWait = 0
 	many := float64(c.channel.Proxies) / float64(c.channel.Connections)
 	if whole && !c.listedOnce && many > tooMany && c.channel.Connections > 0 {
-		c.whole = make([]bool, max(1, min(int(math.Ceil(many)), len(entries)/leastPart)))
+		c.parts = max(1, min(int(math.Ceil(many)), len(entries)/leastPart))
 	}
 	seen := make([]bool, len(c.backends))
 	for _, e := range entries {
@@ -158,7 +159,7 @@
 
 // lightest is the part with the least listed weight; the fleet's changes even out so.
 func (c *Controller) lightest() int {
-	weights := make([]float64, len(c.whole))
+	weights := make([]float64, c.parts)
 	for _, b := range c.backends {
 		if b.listed && b.Condition == Ready {
 			weights[b.part] += b.Weight
@@ -167,19 +168,6 @@
 	return slices.Index(weights, slices.Min(weights))
 }
 
-// short tells whether the proxies of a part are to be given all backends, as too little of it is left.
-func (c *Controller) short(part int, now int64) bool {
-	own, all, least := 0., 0., shortPart
-	for _, b := range c.backends {
-		w := c.wanted(b, now)
-		own, all = own+w*float64(count(b.part == part)), all+w
-	}
-	if c.whole[part] {
-		least = fairPart
-	}
-	return own*float64(len(c.whole)) < least*all
-}
-
 func (b *backend) relist(e Entry, now int64, entering, live bool) {
 	restarted := b.listed && e.Started > b.Started
 	// One that kept its line while a wrong list had dropped it is neither new nor cold.
@@ -248,6 +236,7 @@
 	if c.proxies[id].joined && span > 0 {
 		c.smooth(&c.proxies[id].rates[class], count, span)
 		c.levels.came[class] += float64(count)
+		c.every += (float64(span) - c.every) / 64 // of some lines: a line a proxy and class may take many seconds
 	}
 }
 
@@ -263,13 +252,18 @@
 	}
 	n := len(c.classes) // it counts with its ordinary traffic until it is heard of
 	c.proxies[id] = &proxy{joined: true, bound: c.owners.exist(), keeps: keeps, zone: zone, usual: max(usual, 1),
-		part: id % len(c.whole), joinedAt: c.host.Now(), rates: slices.Repeat([]float64{usual / float64(n)}, n)}
+		part: id % c.parts, joinedAt: c.host.Now(), rates: slices.Repeat([]float64{usual / float64(n)}, n)}
 	for i := range c.owners.all { // it reads lines from the store, but must hear which writes are held
 		if s := &c.owners.all[i]; s.held > 0 {
 			s.held = -1
 		}
 	}
-	c.waiting = append(slices.DeleteFunc(c.waiting, func(other int) bool { return other == id }), id)
+	// The channel may need longer than anybody likes: it goes first to those whose tables carry most.
+	c.waiting = slices.DeleteFunc(c.waiting, func(other int) bool { return other == id })
+	at, _ := slices.BinarySearchFunc(c.waiting, c.proxies[id].usual, func(other int, usual float64) int {
+		return cmp.Or(cmp.Compare(usual, c.proxies[other].usual), -1)
+	})
+	c.waiting = slices.Insert(c.waiting, at, id)
 	c.bindWaiting(c.host.Now())
 }
 
@@ -288,17 +282,17 @@
 func (c *Controller) tables(part, zone int, do func(table int, classes uint16)) {
 	for i, classes := range []uint16{c.shared, c.own} {
 		if classes != 0 {
-			do(part+i*(len(c.whole)-part+zone), classes)
+			do(part+i*(c.parts-part+zone), classes)
 		}
 	}
 }
 
 // in tells whether a table is one that has a backend's line: its part's, or its zone's.
 func (c *Controller) in(b *backend, table int) bool {
-	if table >= len(c.whole) {
-		return c.own != 0 && table-len(c.whole) == b.Zone
+	if table >= c.parts {
+		return c.own != 0 && table-c.parts == b.Zone
 	}
-	return c.shared != 0 && (c.whole[table] || b.part == table)
+	return c.shared != 0 && b.part == table
 }
 
 // share is the part of its listed weight that a backend may carry now.
@@ -334,45 +328,68 @@
 	must := func(b *backend, want float64) bool {
 		return want < b.line && (c.cold(b, now) || c.mustLeave(b)) || want > 0 && bare
 	}
-	cost, kept, strange, need, header := 0., 0., 0., 0., c.channel.Head+1+float64(len(c.classes))
+	header, strange, joined, need := c.channel.header(), 0., 0., 0.
+	bound, kept := make([]float64, c.parts), make([]float64, c.parts)
 	for _, p := range c.proxies {
-		cost, kept = cost+float64(count(p.bound)), kept+float64(count(p.cleared))
+		bound[p.part] += float64(count(p.bound))
+		kept[p.part] += float64(count(p.bound && (p.cleared || p.told > 0)))
+		joined += float64(count(p.joined))
 		strange += float64(count(p.joined && (!p.bound || c.owners.exist())))
 	}
-	due := slices.ContainsFunc(c.levels.order, c.levels.stale)
-	for part, whole := range c.whole {
-		if len(c.whole) > 1 && c.short(part, now) != whole {
-			need = max(need, cost*header) + cost*float64(len(c.backends))/float64(len(c.whole))
+	// What a line costs: the proxies of its part hear of it, each in one message with all that goes to it now.
+	charge := func(b *backend, told []bool) float64 {
+		fresh := float64(count(!told[b.part]))
+		return bound[b.part]*(1+header*fresh) + kept[b.part]*float64(count(b.line == 0))
+	}
+	due, told := slices.ContainsFunc(c.levels.order, c.levels.stale), make([]bool, c.parts)
+	weights, fair := c.weights(now)
+	for part, w := range weights {
+		if w < shortPart*fair {
+			need, told[part] = need+1+bound[part]*header, true
 		}
 	}
+	outs := 0.
 	for _, b := range c.backends {
 		due = due || c.wanted(b, now) != b.line
-		if must(b, c.wanted(b, now)) || b.out != c.mustLeave(b) {
-			need = max(need, cost*header) + max(cost+kept, strange, 1)
+		if must(b, c.wanted(b, now)) {
+			need, told[b.part] = need+max(charge(b, told), 1), true
 		}
+		outs += float64(count(b.out != c.mustLeave(b)))
 	}
-	if c.levels.urgent { // a cut: all that is let in meanwhile adds to a queue
-		need = max(need, header*float64(len(c.proxies)))
+	table := header + float64(len(c.backends)/c.parts)
+	bind := strange > 0 && !c.owners.exist() && c.binds(table, header+outs, int(strange))
+	if !bind {
+		need += outs + strange*min(1, outs)*(header+outs)
+	}
+	if c.levels.urgent { // all let in meanwhile adds to a queue
+		need += (header + 1) * joined
 	}
 	goes := (ordinary || need > 0) && c.channel.open(c.proxies, now, c.laidAt, c.limits.Grace, need)
-	c.pressed = !goes && (ordinary && due && c.channel.lines > c.channel.Backlog/8 || // binds wait
-		need > 0 && c.channel.lines+need > c.channel.Backlog)
+	c.pressed = !goes && (ordinary && due && c.channel.lines > c.channel.room()/8 || // binds wait
+		need > 0 && c.channel.lines+need > c.channel.room())
 	if goes {
 		laid, left, order := false, false, slices.Clone(c.backends)
 		stood, lost := 0., 0.
 		for _, b := range c.backends {
 			stood += b.carried()
 		}
-		// Where the channel is short, each line goes where it changes most.
+		// Where the channel is short, lines go where they change most; those of a part share its messages.
 		gap := func(b *backend) float64 { return math.Abs(c.wanted(b, now) - b.line) }
-		slices.SortStableFunc(order, func(x, y *backend) int { return cmp.Compare(gap(y), gap(x)) })
+		gaps := make([]float64, c.parts)
+		for _, b := range c.backends {
+			gaps[b.part] += gap(b)
+		}
+		slices.SortStableFunc(order, func(x, y *backend) int {
+			return cmp.Or(cmp.Compare(gaps[y.part], gaps[x.part]), x.part-y.part, cmp.Compare(gap(y), gap(x)))
+		})
+		clear(told)
 		for _, first := range []bool{true, false} {
 			for _, b := range order {
 				want := c.wanted(b, now)
 				if want == b.line || must(b, want) != first {
 					continue
 				}
-				if !c.channel.fits(cost*(1+header*float64(count(!laid)))+kept*float64(count(b.line == 0)), first) {
+				if !c.channel.fits(charge(b, told), first) {
 					left = true
 					continue
 				}
@@ -380,16 +397,21 @@
 					lost += max(0, b.line-want) / cmp.Or(b.strained, 1)
 				}
 				c.setLine(b, want)
-				laid, bare = true, bare && want == 0
+				laid, told[b.part], bare = true, true, bare && want == 0
 			}
 		}
-		laid = c.lend(now) || laid
+		laid = c.even(now, weights, fair, bound) || laid
+		fresh := header + float64(len(c.classes))
 		for i, b := range c.backends { // proxies that still hold tables of others stay off these as well
 			// Once their line is gone, as long as it stands a withdrawal costs one to each bound proxy too.
-			if out := c.mustLeave(b) && b.line == 0; out != b.out && c.channel.fits(strange, true) {
-				b.out = out
+			out := c.mustLeave(b) && b.line == 0
+			if out != b.out && !bind && c.channel.fits(strange*(1+fresh), true) {
+				b.out, fresh = out, 0
 				c.host.Withdraw(i, out)
-				c.billEach(1, func(p *proxy) bool { return !p.bound || c.owners.exist() })
+				c.billEach(1, func(p *proxy) bool {
+					p.told += float64(count(!p.bound))
+					return !p.bound || c.owners.exist()
+				})
 			}
 		}
 		c.foresee(now, stood, lost)
@@ -401,20 +423,12 @@
 	c.bindWaiting(now)
 }
 
-// laid counts the lines of a table.
-func (c *Controller) laid(table int) (lines int) {
-	for _, b := range c.backends {
-		lines += count(b.line > 0 && c.in(b, table))
-	}
-	return lines
-}
-
 func (c *Controller) setLine(b *backend, weight float64) {
 	entering := b.line == 0
 	if b.line = weight; c.owners.exist() {
 		return // the owner of a slice is its table
 	}
-	for table := range len(c.whole) + b.Zone + 1 {
+	for table := range c.parts + b.Zone + 1 {
 		if c.in(b, table) {
 			c.tell(b, table, weight, entering)
 		}
@@ -422,68 +436,105 @@
 }
 
 func (c *Controller) tell(b *backend, table int, weight float64, entering bool) {
-	uses := func(p *proxy) bool { return p.bound && (table == p.part || table == len(c.whole)+p.zone) }
+	uses := func(p *proxy) bool { return p.bound && (table == p.part || table == c.parts+p.zone) }
 	c.host.SetLine(table, b.Backend, weight)
 	c.billEach(1, uses)
-	c.billEach(1, func(p *proxy) bool { return entering && p.cleared && uses(p) })
-}
-
-// lend gives the proxies of a part that is short all backends, or takes those of others away again.
-func (c *Controller) lend(now int64) (told bool) {
-	for part, whole := range c.whole {
-		if len(c.whole) == 1 || c.short(part, now) == whole {
-			continue
-		}
-		c.whole[part], told = !whole, true
-		for _, b := range c.backends {
-			if b.line > 0 && b.part != part {
-				c.tell(b, part, b.line*float64(count(!whole)), !whole)
+	c.billEach(1, func(p *proxy) bool { return entering && (p.cleared || p.told > 0) && uses(p) })
+}
+
+// even gives parts that are short backends of the one that has most, as far as there is room: their proxies
+// would overfill the few that are left. Never cold ones, which would be new to twice as many proxies.
+func (c *Controller) even(now int64, weights []float64, fair float64, bound []float64) (told bool) {
+	for to := range weights {
+		for short := weights[to] < shortPart*fair; short && weights[to] < fairPart*fair; {
+			from := slices.Index(weights, slices.Max(weights))
+			at := slices.IndexFunc(c.backends, func(b *backend) bool {
+				return b.part == from && b.line > 0 && c.wanted(b, now) == b.line && !c.cold(b, now)
+			})
+			cost := (bound[from] + bound[to]) * (c.channel.header() + 1)
+			if at < 0 || weights[from] <= fair || !c.channel.fits(cost, true) {
+				break
 			}
+			b := c.backends[at]
+			c.logf(at, "goes over to part %d, which has %.0f%% of its share", to, 100*weights[to]/fair)
+			c.tell(b, from, 0, false)
+			b.part, told = to, true
+			c.tell(b, to, b.line, true)
+			weights[from], weights[to] = weights[from]-b.line, weights[to]+b.line
 		}
 	}
 	return told
 }
 
-// bindWaiting gives whole tables to proxies that hold those of others, in turn, as there is room. Who waits
-// hears at once of levels and withdrawals: rule 3 binds whatever table it brought. Then all are cleared.
+// bindWaiting gives whole tables to proxies that hold those of others, as there is room: the busiest first,
+// but those that waited for half the grace before all. Who waits hears at once of levels and withdrawals,
+// as rule 3 binds whatever table it brought, unless a whole table comes in time for little more. Then all are
+// cleared.
 func (c *Controller) bindWaiting(now int64) {
-	outs, unbound, bound, header := 0., 0, 0, c.channel.Head+1+float64(len(c.classes))
-	spare := c.channel.Backlog / 4 // kept for what cannot wait
+	outs, unbound, bound, spare := 0., 0, 0, c.channel.room()/4 // spare is kept for what cannot wait
 	for _, b := range c.backends {
 		outs += float64(count(b.out))
 	}
+	header, sizes := c.channel.header(), map[int]float64{}
+	message := header + outs + float64(len(c.classes))
+	if len(c.waiting) == 0 || !c.channel.fits(header, false) && !c.channel.fits(message+spare, true) {
+		return // thousands may wait, and this is looked at with each mark
+	}
 	for _, i := range c.waiting {
-		p, lines, cost, bare := c.proxies[i], 0., header, false
-		c.tables(p.part, p.zone, func(table int, _ uint16) {
-			n := float64(c.laid(table))
-			lines, cost, bare = lines+n, cost+n+1, bare || n == 0
-		})
-		ready := p.joined && !c.pressed && !bare && c.channel.fits(cost, false) && c.channel.may(p, now, false)
-		switch {
-		case ready && !p.bound:
-			p.bound, bound = true, 1
-			c.bill(p, cost-c.channel.Head)
-			c.tables(p.part, p.zone, func(table int, classes uint16) { c.host.Bind(table, i, classes) })
-		case ready && p.keeps && !p.cleared && unbound+bound == 0 && c.channel.fits(lines+spare, false):
-			p.cleared = true
-			c.bill(p, lines)
-			c.host.Clear(i)
-		case !p.bound && !p.reminded && (p.keeps || outs > 0) && c.channel.may(p, now, true) &&
-			c.channel.fits(header+outs+spare, true) && c.host.Remind(i, unlimited, TryAfterProof):
-			p.reminded = true
-			c.bill(p, outs)
+		unbound += count(c.proxies[i].joined && !c.proxies[i].bound)
+	}
+	for _, aged := range []bool{true, false} {
+		for _, i := range c.waiting {
+			p, lines, cost, bare := c.proxies[i], 0., header+c.relevels(), false
+			if now-p.joinedAt > c.limits.Grace/2 != aged {
+				continue
+			}
+			c.tables(p.part, p.zone, func(table int, _ uint16) {
+				n, known := sizes[table]
+				if !known {
+					n = float64(c.laid(table))
+					sizes[table] = n
+				}
+				lines, cost, bare = lines+n, cost+n+1, bare || n == 0
+			})
+			ready := p.joined && !c.pressed && !bare && c.channel.fits(cost, false) && c.channel.may(p, now, false)
+			switch {
+			case ready && !p.bound:
+				p.bound, bound = true, bound+1
+				c.bill(p, 1+cost-header+min(p.told, lines))
+				c.tables(p.part, p.zone, func(table int, classes uint16) { c.host.Bind(table, i, classes) })
+			case ready && p.keeps && !p.cleared && unbound == 0 && c.channel.fits(lines+spare, false):
+				p.cleared = true
+				c.bill(p, lines)
+				c.host.Clear(i)
+			case !p.bound && !p.reminded && (p.keeps || outs > 0) && c.channel.may(p, now, true) &&
+				(aged || !c.pressed && !c.binds(cost, message, unbound)) &&
+				c.channel.fits(message+spare, true) && c.host.Remind(i, unlimited, TryAfterProof):
+				p.reminded, p.told = true, outs
+				c.bill(p, outs+float64(len(c.classes)))
+			}
 		}
-		unbound += count(p.joined && !p.bound)
 	}
 	c.waiting = slices.DeleteFunc(c.waiting, func(id int) bool {
 		p := c.proxies[id]
 		return !p.joined || p.bound && p.cleared == p.keeps
 	})
-	if unbound == 0 && bound > 0 {
+	if bound > 0 && unbound == bound {
 		c.bindWaiting(now) // what is to be cleared may go along
 	}
 }
 
+// binds tells whether those who wait are as well bound as told by messages of their own.
+func (c *Controller) binds(table, message float64, waiting int) bool {
+	within := float64(c.limits.Grace) / float64(second) * 3 / 4
+	return table <= 3*message && table*float64(waiting) <= within*c.channel.LinesPerS
+}
+
+// relevels is how many lines of levels a whole table takes along, as it makes a proxy forget them.
+func (c *Controller) relevels() float64 {
+	return max(c.channel.Levels, float64(len(c.classes)*count(c.levels.told)))
+}
+
 // judge scores every backend and settles which leave R.
 func (c *Controller) judge(now int64) {
 	var shares, means []float64
@@ -599,12 +650,14 @@
 	limit      float64 // units a second
 	bound      bool    // more comes than that
 	urgent     bool    // a cut is to be told
+	told       bool    // a level ever was
 	heat       float64 // at the last look
 	laid, want []float64
 	came       []float64 // exchanges counted since the last look
 	trim       []float64 // what was counted in all, over the sum of the proxies' rates
 
 	drainedAt, holdUntil int64 // when the queue must be gone, and when reports show it
+	hotSince             int64 // when looks began to show a queue nearly everywhere; 0 while they do not
 	widenedAt            int64 // when it was last widened, or guessed: reports tell of that a lag later
 }
 
@@ -724,13 +777,18 @@
 	rests := r.median < calmAt && r.heat < hotAt // most have no queue, whatever a few have
 	lag := c.sight.ReportEvery + c.channel.LongestWay + second
 	queue := max(0, r.heat-restAt) * a.expected // before a new exchange, as time
+	hot := r.heat > hotAt && r.median > calmAt && !idle
+	if a.hotSince = cmp.Or(a.hotSince, now) * int64(count(hot)); c.every > a.outer {
+		// What stood in queues then is answered or given up: only heat that outlasts such news is an overload.
+		hot = hot && float64(now-a.hotSince) >= c.every
+	}
 	switch {
 	case now < a.holdUntil:
 		// What is heard now is late: half of the queue that it shows may be gone.
 		if part := max(deepestCut, leastCut-queue/2/float64(drain)); now >= a.drainedAt || part < a.part {
 			a.part = part
 		}
-	case r.heat > hotAt && r.median > calmAt && !idle:
+	case hot:
 		// As a queue stands, hardly more than was let in; what was answered was, even where demand is still thin.
 		able := min(r.answered/r.heard, ahead*max(r.let, r.answered)/r.laid)
 		if a.able == 0 {
@@ -740,7 +798,7 @@
 		// What came while we did not know is in the queue as well.
 		queue += max(0, r.let/(a.able*(r.laid-r.dead))-1) * float64(lag/2)
 		a.part = max(deepestCut, leastCut-queue/float64(drain))
-		a.drainedAt, a.holdUntil, a.urgent = now+drain, now+drain+lag, true
+		a.drainedAt, a.holdUntil, a.hotSince, a.urgent = now+drain, now+drain+lag, 0, true
 	case a.part > 0 && r.came > a.limit && (idle || r.heat < hotAt) && now-a.widenedAt >= lag:
 		wider := easeUp // until it is heard of: steps on steps would overshoot by as many as fit into the lag
 		if idle || rests {
@@ -834,6 +892,7 @@
 			allowance, tries = unlimited, TryAfterProof
 		}
 		c.host.Admit(AllTables, 1<<class, allowance, tries)
+		a.told = true
 		c.billEach(1, func(*proxy) bool { return true })
 	}
 	return laid
@@ -865,7 +924,7 @@
 	if n := len(p.sent); n == 0 || p.sent[n-1] != now {
 		p.sent = append(p.sent, now)
 		o.reached++
-		lines += l.Head + 1 + float64(len(c.classes)) // the levels for all tables go along
+		lines += l.header()
 	}
 	o.lines += lines
 	l.lines += lines
@@ -896,9 +955,18 @@
 	}
 }
 
-// fits tells whether lines may go: what no rule needs, as of a growing fleet, waits at half the backlog.
+// header is what each message costs beside what it is for: head, mark, and levels where they always go along.
+func (l *ledger) header() float64 { return l.Head + 1 + l.Levels }
+
+// room is how many lines may wait. Where the backlog bears far more than two paces take to send, what joins
+// its end would be late by all of that; held back here it is decided on later news, and shares messages.
+func (l *ledger) room() float64 {
+	return min(l.Backlog, max(l.LinesPerS, 1)*float64(2*pace)/float64(second))
+}
+
+// fits tells whether lines may go: what no rule needs, as of a growing fleet, waits at half the room.
 func (l *ledger) fits(cost float64, must bool) bool {
-	return l.lines == 0 || l.lines+cost <= l.Backlog/2 || must && l.lines+cost <= l.Backlog
+	return l.lines == 0 || l.lines+cost <= l.room()/2 || must && l.lines+cost <= l.room()
 }
 
 // may tells whether a proxy may be sent one more message. Half of those allowed are kept for what is urgent.
@@ -915,7 +983,7 @@
 func (l *ledger) open(proxies []*proxy, now, last, grace int64, need float64) bool {
 	gap := min((grace-l.LongestWay-beat)/2, l.MessagesSpan/int64(max(l.MessagesMost, 1)))
 	if l.MessagesMost > 0 && now > last && now-last < gap ||
-		l.lines > l.Backlog/8 && (need == 0 || l.lines+need > l.Backlog) {
+		l.lines > l.room()/8 && (need == 0 || l.lines+need > l.room()) {
 		return false
 	}
 	return !slices.ContainsFunc(proxies, func(p *proxy) bool { return p.bound && !l.may(p, now, need > 0) })
--- a/decide/host.go
+++ b/decide/host.go
@@ -102,6 +102,7 @@
 type Channel struct {
 	LinesPerS    float64
 	Head         float64
+	Levels       float64 // lines of levels that go along with every message, whatever it is for
 	Backlog      float64
 	LongestWay   int64
 	MessagesMost int
@@ -129,6 +130,7 @@
 // Sight is what a controller may see and how.
 type Sight struct {
 	ReportEvery int64
+	LinesPerS   float64 // report lines a second that it is given at most; 0 if nobody says
 	MayProbe    bool
 	MustAsk     bool
 	LiveWeights bool // listed weights fall with the load of the moment
--- a/decide/state.go
+++ b/decide/state.go
@@ -35,8 +35,9 @@
 
 type proxy struct {
 	joined, bound    bool
-	keeps, reminded  bool // keeps: may hold withdrawals of others, until it is cleared of them
-	cleared          bool // a backend's first line lets it back from then on, and costs two
+	keeps, reminded  bool    // keeps: may hold withdrawals of others, until it is cleared of them
+	cleared          bool    // a backend's first line lets it back from then on, and costs two
+	told             float64 // withdrawals that it heard of before it was bound: the same
 	zone, part       int
 	usual            float64 // exchanges a second that come to it on ordinary days
 	joinedAt, leftAt int64
@@ -114,3 +115,21 @@
 	came, let, answered float64 // units a second, at all, past the levels, and by backends that keep up
 	laid, heard, dead   float64 // weight in lines, that keeps up, that answers nothing, times ordinary traffic
 }
+
+// laid counts the lines of a table.
+func (c *Controller) laid(table int) (lines int) {
+	for _, b := range c.backends {
+		lines += count(b.line > 0 && c.in(b, table))
+	}
+	return lines
+}
+
+// weights is what each part may carry now, and a fair share of it.
+func (c *Controller) weights(now int64) (parts []float64, fair float64) {
+	parts = make([]float64, c.parts)
+	for _, b := range c.backends {
+		w := c.wanted(b, now)
+		parts[b.part], fair = parts[b.part]+w, fair+w/float64(c.parts)
+	}
+	return parts, fair
+}
--- a/internal/benchwire/door.go
+++ b/internal/benchwire/door.go
@@ -104,6 +104,7 @@
 	d.instances[id] = in
 	f := start.Lines(text, d.odd)
 	channel, limits, classes := f.Channel(), f.Limits(), f.Classes()
+	channel.Levels = float64(len(classes)) // this wire repeats the levels of all tables with each message
 	partition, sight, admission := f.Partition(), f.Sight(), f.Admission()
 	in.fields, in.classes = f.LoadFields(), len(classes)
 	in.zones, in.slices = len(f.Zones()), partition.Count
--- a/internal/start/facts.go
+++ b/internal/start/facts.go
@@ -223,6 +223,7 @@
 func (f *Facts) Sight() decide.Sight {
 	s := decide.Sight{
 		ReportEvery: f.Span("familyInfo.reportEvery"),
+		LinesPerS:   f.Maybe("familyInfo.ingestRate", 0),
 		MayProbe:    f.truth("limits.mayProbe", false),
 		LiveWeights: word(f, "weights", false, map[string]bool{
 			"silent": false, "nominal": false, "rough": false, "live": true}),
