Parts of five backends, each spread over the zones: connections fit the cap again

Cause: settings say 2,640 proxies and 64 connections at the smallest backend, so 41 parts; decide/decide.go allowed parts of ten backends at least, hence 20, and 132 proxies for each backend. A proxy of 0.6 exchanges a second keeps 60% of its connections open (idle 15 s), so the smallest backends turned new ones away. Change: leastPart is 5, for which the settings' own figures (proxies, connections) now decide the number of parts at this size; one of each zone still fits. A backend goes to the part that is lightest when its own zone counts twice, so that a lost zone takes as much of each.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,7 +53,7 @@
 
 	// Parts of the fleet, each with a table and a part of the proxies, where backends take too few connections.
 	tooMany   = 1.6 // proxies for each connection of the smallest backend; up to there many are quiet
-	leastPart = 10  // backends in a part
+	leastPart = 5   // backends in a part
 	shortPart = 0.5 // of its fair share that it has left when it is given backends of the largest part ...
 	fairPart  = 0.8 // ... until it has this much
 )
@@ -144,7 +144,7 @@
 			c.backends, seen = append(c.backends, &backend{}), append(seen, false)
 		}
 		if seen[e.Backend] = true; !c.backends[e.Backend].listed {
-			c.backends[e.Backend].part = c.lightest()
+			c.backends[e.Backend].part = c.lightest(e.Zone)
 		}
 		c.backends[e.Backend].relist(e, now, c.listedOnce, c.sight.LiveWeights)
 	}
@@ -157,12 +157,13 @@
 	c.publish(now, false)
 }
 
-// lightest is the part with the least listed weight; the fleet's changes even out so.
-func (c *Controller) lightest() int {
+// lightest is the part with the least listed weight, that of a zone twice: so the fleet's changes even out, and
+// a lost zone takes as much of each.
+func (c *Controller) lightest(zone int) int {
 	weights := make([]float64, c.parts)
 	for _, b := range c.backends {
 		if b.listed && b.Condition == Ready {
-			weights[b.part] += b.Weight
+			weights[b.part] += b.Weight * float64(1+count(b.Zone == zone))
 		}
 	}
 	return slices.Index(weights, slices.Min(weights))
