Reports that cover long spans judge only what they tell of; benchmarks of a fleet's work

Reports come at 75 lines a second for some 1,500 keys a controller, so each tells of the last 10 to 20 s (interval on the wire; reports_per_s in event=given). Cause: Heard() in decide/decide.go took each report for news of now: tries before a restart or a return counted against the new process, and tries before a strain step called for the next one. Change: Heard is handed the span. What it tells of beyond one period is left out of the judgement of a process that started, or returned, meanwhile, and of a weight set meanwhile. Where reports cover one period nothing changes.

--- /dev/null
+++ b/controller/bench_test.go
@@ -0,0 +1,114 @@
+package controller
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"strings"
+	"testing"
+
+	"wheelrill/decide"
+)
+
+// crowd makes a controller for a fleet of so many proxies and 200 backends, with a channel of so many lines a second.
+func crowd(b *testing.B, proxies int, lines float64) *module {
+	b.Helper()
+	var entries []string
+	for id := range 200 {
+		entries = append(entries, backendIs(id, "up"))
+	}
+	fit := strings.NewReplacer(`"proxyCount":40`, fmt.Sprintf(`"proxyCount":%d`, proxies),
+		`"egressPerS":900`, fmt.Sprintf(`"egressPerS":%g`, lines), `"backlog":900`,
+		fmt.Sprintf(`"backlog":%g,"socketsMin":83`, 50*lines))
+	c, err := New(Place{}, []byte(fit.Replace(string(configuration("127.0.0.1:9", listing(1, true, entries...))))),
+		log.New(io.Discard, "", 0))
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := c.module.now
+	c.module.clock = func() int64 { return now }
+	c.module.turn(func() {})
+	return c.module
+}
+
+// arrive has proxies join at one clock time, each on a stream that takes all it is sent.
+func arrive(m *module, proxies int) (peers []*peer) {
+	m.turn(func() {
+		for node := range proxies {
+			p := newPeer(&told{Reader: strings.NewReader("")}, node+1, m, func(*peer) error { return nil })
+			p.kind, p.node, p.zone = proxy, node, node%2
+			p.heard.Store(m.now)
+			peers = append(peers, p)
+			m.joined(p, 0.5, true)
+		}
+	})
+	return peers
+}
+
+// answers has every proxy take what it was sent and answer the last mark.
+func answers(m *module, peers []*peer) {
+	m.turn(func() {
+		for _, p := range peers {
+			for len(p.mail) > 0 {
+				<-p.mail
+			}
+			if j := m.joins[p.node]; j != nil && len(j.waiting) > 0 {
+				m.applied(p, j.waiting[len(j.waiting)-1].number)
+			}
+		}
+	})
+}
+
+// Through the one nothing ever waits, so that all of the work is counted; through the other most proxies wait.
+const wide, narrow = 9e9, 900
+
+// BenchmarkFleet tells what one of each costs a controller as its proxies grow in number.
+func BenchmarkFleet(b *testing.B) {
+	for _, proxies := range []int{10, 100, 1000, 2400} {
+		for what, lines := range map[string]float64{"takeover": wide, "takeover_narrow": narrow} {
+			b.Run(fmt.Sprintf("%s/%d", what, proxies), func(b *testing.B) {
+				b.ReportAllocs()
+				for range b.N {
+					b.StopTimer()
+					m := crowd(b, proxies, lines)
+					b.StartTimer()
+					answers(m, arrive(m, proxies))
+				}
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(proxies), "ns/proxy")
+			})
+		}
+		m := crowd(b, proxies, wide)
+		peers := arrive(m, proxies)
+		answers(m, peers)
+		later(m, 5*second, func() {})
+		answers(m, peers)
+		b.Run(fmt.Sprintf("report/%d", proxies), func(b *testing.B) {
+			b.ReportAllocs()
+			id := m.backends.ids[0]
+			for i := range b.N {
+				m.met(id, 5, 0, 200_000, second, decide.Load{Busy: -1, Waiting: -1, Service: -1})
+				m.came(i%proxies, i%2, 3, 2*second)
+			}
+			m.control.Listed(false, nil)
+		})
+		b.Run(fmt.Sprintf("order/%d", proxies), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				state := []decide.Condition{decide.Draining, decide.Ready}[i%2]
+				jump(m, 3*second, func() {
+					m.control.Listed(false, []decide.Entry{{Backend: 7, Condition: state, Weight: 2, Zone: 1}})
+				})
+				for _, p := range peers {
+					p.heard.Store(m.now)
+				}
+				answers(m, peers)
+			}
+		})
+		b.Run(fmt.Sprintf("beat/%d", proxies), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				jump(m, second/4, func() {})
+			}
+		})
+	}
+}
--- a/controller/module.go
+++ b/controller/module.go
@@ -330,13 +330,13 @@
 	m.control.Applied(p.node, number)
 }
 
-func (m *module) met(id string, tries, failed int, mean int64, load decide.Load) {
+func (m *module) met(id string, tries, failed int, mean, span int64, load decide.Load) {
 	backend, ok := m.backends.index[id]
 	if !ok {
 		m.log.seldom("unlisted", "event=report_unlisted id=%q", id[:min(len(id), m.limits.id)])
 		return
 	}
-	m.control.Heard(backend, tries, failed, mean, load)
+	m.control.Heard(backend, tries, failed, mean, span, load)
 }
 
 func (m *module) came(node, class, count int, span int64) {
--- a/controller/peer.go
+++ b/controller/peer.go
@@ -339,7 +339,7 @@
 // outcomes is what the proxies of a zone met at a backend. A report is used whole or not at all. Fields that nobody
 // reads are not looked at, but for those that show whether the others can be right: its zone and its time.
 func (p *peer) outcomes(m *fastjson.Value) {
-	_, seconds, timed := p.spanAt(m)
+	span, seconds, timed := p.spanAt(m)
 	id := string(m.GetStringBytes("endpoint"))
 	tries, ok := countAt(m, "total", p.limits.fleetRate, seconds)
 	failed, counted := countAt(m, "errors", p.limits.fleetRate, seconds)
@@ -357,7 +357,7 @@
 		p.skip("outcomes without usable figures")
 		return
 	}
-	p.module.report(func() { p.module.met(id, tries, failed, mean, load) })
+	p.module.report(func() { p.module.met(id, tries, failed, mean, span, load) })
 }
 
 // demand is what came to a proxy; it may come over the proxy's stream or any collector.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -216,14 +216,18 @@
 	return b.listed && b.Condition != Ready && (b.drained || !c.limits.OnlyDrainingBinds)
 }
 
-// Heard is what our proxies of some zone met at a backend.
-func (c *Controller) Heard(id, tries, failed int, mean int64, load Load) {
+// Heard is what our proxies of some zone met at a backend, within a span that ended a moment ago.
+func (c *Controller) Heard(id, tries, failed int, mean, span int64, load Load) {
 	if id >= len(c.backends) || tries <= 0 {
 		return
 	}
 	now, b := c.host.Now(), c.backends[id]
 	c.tries += tries
-	b.samples = append(b.samples, sample{now, mean * int64(tries-failed), tries, failed})
+	from := now - max(0, span-c.sight.ReportEvery) // where lines wait for their turn they tell of long before
+	if from < now && from < max(b.Started, b.enteredAt) {
+		return // of another process, or of when it was away
+	}
+	b.samples = append(b.samples, sample{now, from, mean * int64(tries-failed), tries, failed})
 	if load.Busy >= 0 || load.Waiting >= 0 {
 		b.load = load
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -52,8 +52,8 @@
 	})
 	t.Run("absent and foreign figures harm nothing", func(t *testing.T) {
 		s := begin(t, usual(), 3, 1)
-		s.c.Heard(99, 5, 5, 0, Load{})
-		s.c.Heard(1, 0, 0, 0, Load{})
+		s.c.Heard(99, 5, 5, 0, second, Load{})
+		s.c.Heard(1, 0, 0, 0, second, Load{})
 		s.c.Came(0, 1, 5, 0)
 		s.c.Applied(0, 60000)
 		s.c.Probed(44, Answered)
@@ -163,8 +163,8 @@
 		s := begin(t, usual(), 6, 2)
 		s.plays(12, func() {
 			s.fine(1, 2)
-			s.c.Heard(1, 10, 0, 900_000, Load{Busy: 0.5, Waiting: -1, Service: -1})
-			s.c.Heard(2, 10, 0, 900_000, Load{Busy: 0.95, Waiting: -1, Service: -1})
+			s.c.Heard(1, 10, 0, 900_000, second, Load{Busy: 0.5, Waiting: -1, Service: -1})
+			s.c.Heard(2, 10, 0, 900_000, second, Load{Busy: 0.95, Waiting: -1, Service: -1})
 		})
 		if s.weight(1, 2, "idle"); s.tables[0][2] >= 2 {
 			t.Errorf("weight %.2f of one that is busy, and late", s.tables[0][2])
@@ -451,6 +451,36 @@
 	})
 }
 
+func TestOldNews(t *testing.T) {
+	// Found on the days of the whole fleet: 75 report lines a second for thousands of keys, each 10 to 20 s old.
+	t.Run("what was met before a restart says nothing of the process that runs now", func(t *testing.T) {
+		for span, away := range map[int64]bool{2 * second: true, 20 * second: false} {
+			s := begin(t, usual(), 8, 2)
+			s.plays(5, func() { s.fine() })
+			s.lists(3, 4, Ready, s.now)
+			s.plays(6, func() {
+				s.fine(3)
+				s.c.Heard(3, 30, 30, 0, span, Load{Busy: -1, Waiting: -1, Service: -1})
+			})
+			if s.c.backends[3].away != away {
+				t.Errorf("reports over %d s: away %v", span/second, !away)
+			}
+		}
+	})
+	t.Run("a backend is strained once for what long reports tell, and again by what came after", func(t *testing.T) {
+		s := begin(t, usual(), 8, 2)
+		s.plays(5, func() { s.fine() })
+		slow := func() {
+			s.fine(3)
+			s.c.Heard(3, 30, 0, 1_200_000, 10*second, Load{Busy: -1, Waiting: -1, Service: -1})
+		}
+		s.plays(7, slow)
+		s.weight(3, 2*strainStep, "after the first reports")
+		s.plays(9, slow)
+		s.weight(3, 2*strainStep*strainStep, "after those of its new weight")
+	})
+}
+
 func TestParts(t *testing.T) {
 	// Found on days of 150 proxies: each opened a connection to all backends, of which the smallest take 80.
 	x := usual()
@@ -993,7 +1023,7 @@
 			s := begin(t, usual(), 8, 3)
 			s.plays(6, func() {
 				for b := range 8 {
-					s.c.Heard(b, 10, 0, x.mean, x.load)
+					s.c.Heard(b, 10, 0, x.mean, second, x.load)
 				}
 				s.comes(20, 20)
 			})
--- a/decide/fake_test.go
+++ b/decide/fake_test.go
@@ -150,7 +150,7 @@
 
 // hears reports one backend's tries of the last second.
 func (s *stage) hears(b, tries, failed int, mean int64) {
-	s.c.Heard(b, tries, failed, mean, Load{Busy: -1, Waiting: -1, Service: -1})
+	s.c.Heard(b, tries, failed, mean, second, Load{Busy: -1, Waiting: -1, Service: -1})
 }
 
 // lists tells of backends from one number to another, in one go.
--- a/decide/state.go
+++ b/decide/state.go
@@ -29,7 +29,8 @@
 }
 
 type sample struct {
-	at, took      int64 // took: all answered ones together
+	at, from      int64 // when it came, and what it tells of at the earliest, but for a period
+	took          int64 // all answered ones together
 	tries, failed int
 }
 
@@ -58,7 +59,7 @@
 	took := int64(0)
 	b.tries, b.failed, b.mean = 0, 0, 0
 	for _, s := range b.samples {
-		if s.at > b.since {
+		if s.from > b.since {
 			b.tries, b.failed, took = b.tries+s.tries, b.failed+s.failed, took+s.took
 		}
 	}
--- a/internal/benchwire/door.go
+++ b/internal/benchwire/door.go
@@ -185,7 +185,7 @@
 		if b, ok := in.known(&in.backends, r.u32(4), "backend"); ok && in.in(int(r.u8(3)), in.zones, "zone") {
 			tries := int(r.u32(8))
 			failed := min(int(r.u32(12)), tries)
-			in.control.Heard(b, tries, failed, start.Micros(r.f64(16)), in.load(r, 32))
+			in.control.Heard(b, tries, failed, start.Micros(r.f64(16)), start.Micros(r.f64(24)), in.load(r, 32))
 		}
 	case evArrivals:
 		if p, ok := in.known(&in.proxies, uint32(r.u16(3)), "proxy"); ok && in.in(int(r.u8(5)), in.classes, "class") {
