--- a/decide/decide.go
+++ b/decide/decide.go
@@ -157,8 +157,8 @@
 	c.publish(now, false)
 }
 
-// lightest is the part with the least listed weight, that of a zone twice: so the fleet's changes even out, and
-// a lost zone takes as much of each.
+// lightest is the part with the least listed weight, its zone counted twice: so changes even out, and a lost zone
+// takes as much of each.
 func (c *Controller) lightest(zone int) int {
 	weights := make([]float64, c.parts)
 	for _, b := range c.backends {
