Old spans judge only beyond the outer limit; small channels keep the order of arrival

Causes: where 250 report lines a second nearly suffice, a line now and then covers two periods, and Heard() took that for old news, which left strain fewer samples; Joined() sorted by traffic also where the channel binds everybody in a second. Change: news counts as old beyond the longest outer limit, the same condition as for a cut; binds go by traffic only where the backlog takes longer than two paces to send.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -157,8 +157,7 @@
 	c.publish(now, false)
 }
 
-// lightest is the part with the least listed weight, its zone counted twice: so changes even out, and a lost zone
-// takes as much of each.
+// lightest is the part with the least listed weight, the zone's twice: a lost one takes as much of each.
 func (c *Controller) lightest(zone int) int {
 	weights := make([]float64, c.parts)
 	for _, b := range c.backends {
@@ -223,9 +222,11 @@
 	}
 	now, b := c.host.Now(), c.backends[id]
 	c.tries += tries
-	from := now - max(0, span-c.sight.ReportEvery) // where lines wait for their turn they tell of long before
-	if from < now && from < max(b.Started, b.enteredAt) {
-		return // of another process, or of when it was away
+	from := now
+	if float64(span) > c.levels.outer { // lines wait for their turn: they tell of exchanges that are all over
+		if from -= span - c.sight.ReportEvery; from < max(b.Started, b.enteredAt) {
+			return // of another process, or of when it was away
+		}
 	}
 	b.samples = append(b.samples, sample{now, from, mean * int64(tries-failed), tries, failed})
 	if load.Busy >= 0 || load.Waiting >= 0 {
@@ -263,10 +264,11 @@
 			s.held = -1
 		}
 	}
-	// The channel may need longer than anybody likes: it goes first to those whose tables carry most.
+	// Where the channel may need long for all, it goes first to those whose tables carry most.
+	long := float64(count(c.channel.room() < c.channel.Backlog))
 	c.waiting = slices.DeleteFunc(c.waiting, func(other int) bool { return other == id })
 	at, _ := slices.BinarySearchFunc(c.waiting, c.proxies[id].usual, func(other int, usual float64) int {
-		return cmp.Or(cmp.Compare(usual, c.proxies[other].usual), -1)
+		return cmp.Or(cmp.Compare(usual*long, c.proxies[other].usual*long), -1)
 	})
 	c.waiting = slices.Insert(c.waiting, at, id)
 	c.bindWaiting(c.host.Now())
@@ -472,9 +474,8 @@
 }
 
 // bindWaiting gives whole tables to proxies that hold those of others, as there is room: the busiest first,
-// but those that waited for half the grace before all. Who waits hears at once of levels and withdrawals,
-// as rule 3 binds whatever table it brought, unless a whole table comes in time for little more. Then all are
-// cleared.
+// but those that waited for half the grace before all. Who waits hears at once of levels and withdrawals, as
+// rule 3 binds whatever table it brought, unless a table comes in time for little more. Then all are cleared.
 func (c *Controller) bindWaiting(now int64) {
 	outs, unbound, bound, spare := 0., 0, 0, c.channel.room()/4 // spare is kept for what cannot wait
 	for _, b := range c.backends {
