News counts as old by the fleet's lines of late, not by the span of one report

Cause: Heard() in decide/decide.go took a report that covers more than the longest outer limit for one that had waited for its turn. A backend that was away, or a quiet zone, has no line for long and then one that covers all of that, though it is fresh: it was left out, and what had just returned was heard of a look too late. Change: the lines that proxies' demand comes in tell whether news waits (every), as for a cut; single spans tell only how far a report goes back then. A story for the one long report that is news.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -223,8 +223,8 @@
 	now, b := c.host.Now(), c.backends[id]
 	c.tries += tries
 	from := now
-	if float64(span) > c.levels.outer { // lines wait for their turn: they tell of exchanges that are all over
-		if from -= span - c.sight.ReportEvery; from < max(b.Started, b.enteredAt) {
+	if c.every > c.levels.outer { // lines wait for their turn: they tell of exchanges that are all over
+		if from -= max(0, span-c.sight.ReportEvery); from < max(b.Started, b.enteredAt) {
 			return // of another process, or of when it was away
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -454,12 +454,13 @@
 func TestOldNews(t *testing.T) {
 	// Found on the days of the whole fleet: 75 report lines a second for thousands of keys, each 10 to 20 s old.
 	t.Run("what was met before a restart says nothing of the process that runs now", func(t *testing.T) {
-		for span, away := range map[int64]bool{2 * second: true, 20 * second: false} {
+		for span, away := range map[int64]bool{second: true, 20 * second: false} {
 			s := begin(t, usual(), 8, 2)
-			s.plays(5, func() { s.fine() })
+			s.plays(60, func() { s.fine(); s.late(span) })
 			s.lists(3, 4, Ready, s.now)
 			s.plays(6, func() {
 				s.fine(3)
+				s.late(span)
 				s.c.Heard(3, 30, 30, 0, span, Load{Busy: -1, Waiting: -1, Service: -1})
 			})
 			if s.c.backends[3].away != away {
@@ -467,11 +468,22 @@
 			}
 		}
 	})
-	t.Run("a backend is strained once for what long reports tell, and again by what came after", func(t *testing.T) {
+	t.Run("one long report of a backend that had nothing to tell is news, where others are not late", func(t *testing.T) {
+		// Found on grown Nairobi: what had been away was heard of too late once it was back.
 		s := begin(t, usual(), 8, 2)
 		s.plays(5, func() { s.fine() })
+		s.lists(3, 4, Ready, s.now)
+		s.c.Heard(3, 30, 30, 0, 20*second, Load{Busy: -1, Waiting: -1, Service: -1})
+		if s.plays(3, func() { s.fine(3) }); !s.c.backends[3].away {
+			t.Error("it was not heard")
+		}
+	})
+	t.Run("a backend is strained once for what long reports tell, and again by what came after", func(t *testing.T) {
+		s := begin(t, usual(), 8, 2)
+		s.plays(60, func() { s.fine(); s.late(10 * second) })
 		slow := func() {
 			s.fine(3)
+			s.late(10 * second)
 			s.c.Heard(3, 30, 0, 1_200_000, 10*second, Load{Busy: -1, Waiting: -1, Service: -1})
 		}
 		s.plays(7, slow)
--- a/decide/fake_test.go
+++ b/decide/fake_test.go
@@ -180,6 +180,15 @@
 	}
 }
 
+// late has proxies heard of in lines that cover so long, as where these wait for their turn.
+func (s *stage) late(span int64) {
+	for p := range s.c.proxies {
+		for class := range 2 {
+			s.c.Came(p, class, int(20*span/second), span)
+		}
+	}
+}
+
 func (s *stage) weight(b int, want float64, when string) {
 	s.Helper()
 	if got := s.tables[0][b]; got < want-0.001 || got > want+0.001 {
