A controller that starts anew leaves cold backends out until its first reports

All controllers had stopped at 0:06 in an overload; one came back at 0:25, together with three backends of a lost zone. Levels: the first limit came with the first reports, at 27.6 s, and nothing can be known before; the weight: the line had the share that the settings call sure. Cause: wanted() in decide/decide.go lays a cold backend at what it surely can do, which a jam four times as large pushes over; nothing but its absence helps where no level can be reckoned yet, as already where proxies heed none. Change: while no report was heard at all, cold backends stay out if any warm one was listed. It ends with the first look, or when they are warm. It can do harm where a fleet is mostly new and a controller is too: for the two or three seconds to its first look.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -76,9 +76,9 @@
 
 	publishedAt, laidAt, lookedAt, askAt, askWait int64
 
-	tries                         int     // heard of since the last look
-	every                         float64 // microseconds that a report covers of late: news is as old
-	listedOnce, fallback, pressed bool
+	tries                               int     // heard of since the last look
+	every                               float64 // microseconds that a report covers of late: news is as old
+	listedOnce, fallback, pressed, warm bool    // warm: some backend was listed that was not cold
 }
 
 // New makes a controller that knows nothing yet: until reports come, nothing is withdrawn for being unheard.
@@ -152,6 +152,7 @@
 		if whole && !seen[i] {
 			b.Condition = Gone
 		}
+		c.warm = c.warm || b.Condition == Ready && !c.cold(b, now)
 	}
 	c.listedOnce = c.listedOnce || whole
 	c.publish(now, false)
@@ -321,8 +322,9 @@
 }
 
 func (c *Controller) wanted(b *backend, now int64) float64 {
-	// Where proxies heed no levels, nothing but its absence keeps an overload from a cold backend.
-	out := c.levels.how == AdmitNone && c.levels.heat > hotAt && c.cold(b, now)
+	// Where proxies heed no levels, or we may have started in a jam, only absence keeps it from a cold one.
+	blind := c.levels.how == AdmitNone && c.levels.heat > hotAt || c.levels.expected == 0 && c.warm
+	out := blind && c.cold(b, now)
 	if !c.usable(b, now) || b.away && !c.fallback || out {
 		return 0
 	}
@@ -355,7 +357,7 @@
 			need, told[part] = need+1+bound[part]*header, true
 		}
 	}
-	outs := 0.
+	outs, table := 0., header+float64(len(c.backends)/c.parts)
 	for _, b := range c.backends {
 		due = due || c.wanted(b, now) != b.line
 		if must(b, c.wanted(b, now)) {
@@ -363,7 +365,6 @@
 		}
 		outs += float64(count(b.out != c.mustLeave(b)))
 	}
-	table := header + float64(len(c.backends)/c.parts)
 	bind := strange > 0 && !c.owners.exist() && c.binds(table, header+outs, int(strange))
 	if !bind {
 		need += outs + strange*min(1, outs)*(header+outs)
@@ -784,10 +785,9 @@
 	lag := c.sight.ReportEvery + c.channel.LongestWay + second
 	queue := max(0, r.heat-restAt) * a.expected // before a new exchange, as time
 	hot := r.heat > hotAt && r.median > calmAt && !idle
-	if a.hotSince = cmp.Or(a.hotSince, now) * int64(count(hot)); c.every > a.outer {
-		// What stood in queues then is answered or given up: only heat that outlasts such news is an overload.
-		hot = hot && float64(now-a.hotSince) >= c.every
-	}
+	a.hotSince = cmp.Or(a.hotSince, now) * int64(count(hot))
+	// What stood in queues then may be answered or given up: only heat that outlasts old news is an overload.
+	hot = hot && (c.every <= a.outer || float64(now-a.hotSince) >= c.every)
 	switch {
 	case now < a.holdUntil:
 		// What is heard now is late: half of the queue that it shows may be gone.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -451,6 +451,34 @@
 	})
 }
 
+func TestStartInAJam(t *testing.T) {
+	// Found by a hunt: a controller came back into a jam, and bound its proxies to a backend that had just started too.
+	cold := func(warm int) *stage {
+		s := begin(t, usual(), 0, 3)
+		var all []Entry
+		for b := range 6 {
+			all = append(all, Entry{Backend: b, Condition: Ready, Weight: 2, Started: (s.now - second) * int64(count(b >= warm))})
+		}
+		s.c.Listed(true, all)
+		s.plays(1.5, nil)
+		return s
+	}
+	t.Run("cold backends stay out until the first reports", func(t *testing.T) {
+		s := cold(5)
+		if !s.bound["0 0 3"] || s.tables[0][5] > 0 || len(s.tables[0]) != 5 {
+			t.Errorf("bound %v, table %v", s.bound, s.tables[0])
+		}
+		if s.plays(4, func() { s.fine(5) }); s.tables[0][5] <= 0 || s.tables[0][5] > 1 {
+			t.Errorf("after reports: %v", s.tables[0])
+		}
+	})
+	t.Run("not where there is nothing else", func(t *testing.T) {
+		if s := cold(0); !s.bound["0 0 3"] || len(s.tables[0]) != 6 {
+			t.Errorf("bound %v, table %v", s.bound, s.tables[0])
+		}
+	})
+}
+
 func TestOldNews(t *testing.T) {
 	// Found on the days of the whole fleet: 75 report lines a second for thousands of keys, each 10 to 20 s old.
 	t.Run("what was met before a restart says nothing of the process that runs now", func(t *testing.T) {
