share/: who owns which proxy by the record, what it surely has, what may still go to it

Need: controllers share nothing, so a takeover writes whole tables and counts no messages of others (issue: shared controllers). Change: a pure package. Book is the record (entries of members, ownership by tokens that grow, tables with the edition of each line, withdrawals); Desk is one member at work on it (claims, orders held until they stand, a lease after which it goes on off the record, message shares); Witness is the leader's: who has surely written nothing off the record, by its own clock alone. Found on the way by the check: a base computed for a member that entered anew lacked lines taken out before (now a floor), and a member that serves off the record unclaimed proxies made a later owner's base wrong (now known only if all members are vouched for).

--- /dev/null
+++ b/share/book.go
@@ -0,0 +1,294 @@
+// Package share holds what several controllers keep together, and what each of them concludes from it: who owns which
+// proxy, what that proxy was surely told, how many messages may still have gone to it, and what others heard of
+// backends. It has no I/O, no clock and no goroutine; docs/shared.md says why things are so.
+//
+// A Book is the record, the same at every member once the same entries were taken in. A Desk is one member at work on
+// it. A Witness is what the leader of the record knows besides.
+package share
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Entry is what one member puts on the record in one piece. A member has one entry under way at a time.
+type Entry struct {
+	Member  string `cbor:"1,keyasint"`
+	Life    uint64 `cbor:"2,keyasint"`           // drawn anew at each start, and after each time off the record
+	Seq     uint64 `cbor:"3,keyasint"`           // 1 for the first of a life, which is its entering
+	Floor   uint64 `cbor:"4,keyasint,omitempty"` // the greatest token that the member has seen
+	Closing bool   `cbor:"5,keyasint,omitempty"` // nothing will be written to any proxy from now on
+	Claims  []int  `cbor:"6,keyasint,omitempty"`
+	Edition uint64 `cbor:"7,keyasint,omitempty"` // of the tables once Laid counts
+	Laid    []Laid `cbor:"8,keyasint,omitempty"`
+	Told    []Told `cbor:"9,keyasint,omitempty"`
+	Seen    []Seen `cbor:"10,keyasint,omitempty"`
+	// Recorded is added by the leader: the lives that had surely written nothing off the record when this entry came to
+	// it. It names none before all members have entered.
+	Recorded []uint64 `cbor:"11,keyasint,omitempty"`
+	// Stamp is added by the leader as well.
+	Stamp Stamp `cbor:"12,keyasint,omitempty"`
+}
+
+// Stamp is a time on the clock of one leader, which says something only beside others of the same.
+type Stamp struct {
+	Leader uint64 `cbor:"1,keyasint"` // drawn anew with each leadership
+	At     int64  `cbor:"2,keyasint"` // µs
+}
+
+// Laid is what changes in one table of a member; a weight of 0 takes a line out.
+type Laid struct {
+	Table int    `cbor:"1,keyasint"`
+	Lines []Line `cbor:"2,keyasint"`
+}
+
+// Line is one line of a table.
+type Line struct {
+	Backend string  `cbor:"1,keyasint"`
+	Weight  float64 `cbor:"2,keyasint"`
+}
+
+// Told is what a proxy has confirmed: all that its tables, by class, were up to an edition.
+type Told struct {
+	Proxy   int    `cbor:"1,keyasint"`
+	Token   uint64 `cbor:"2,keyasint"`
+	Edition uint64 `cbor:"3,keyasint"`
+	Tables  []int  `cbor:"4,keyasint"`
+}
+
+// Seen is what a member's proxies met at a backend. Away: it is withdrawn there, and this is what showed it.
+type Seen struct {
+	Backend string `cbor:"1,keyasint"`
+	Tries   int    `cbor:"2,keyasint"`
+	Failed  int    `cbor:"3,keyasint"`
+	Mean    int64  `cbor:"4,keyasint"` // µs that an answer took
+	Span    int64  `cbor:"5,keyasint"` // µs that it covers
+	Away    bool   `cbor:"6,keyasint,omitempty"`
+}
+
+// Book is the record.
+type Book struct {
+	Token   uint64                     `cbor:"1,keyasint"` // the last one given
+	Members map[string]uint64          `cbor:"2,keyasint"` // the life of each
+	Lives   map[uint64]*Life           `cbor:"3,keyasint"`
+	Proxies map[int]Holding            `cbor:"4,keyasint"`
+	Away    map[string]map[string]Seen `cbor:"5,keyasint"` // by backend and member
+}
+
+// Life is a member between its entering and its end.
+type Life struct {
+	Member  string         `cbor:"1,keyasint"`
+	Seq     uint64         `cbor:"2,keyasint"`
+	Closed  bool           `cbor:"3,keyasint"`
+	Edition uint64         `cbor:"4,keyasint"`
+	Tables  map[int]*Table `cbor:"5,keyasint"`
+}
+
+// Table is one of a member's tables. A line that was taken out stands with a weight of 0 for a while.
+type Table struct {
+	Lines map[string]Stood `cbor:"1,keyasint"`
+	Floor uint64           `cbor:"2,keyasint"` // of lines taken out before this edition nothing is known any more
+}
+
+// Stood is a line and the edition that set it.
+type Stood struct {
+	Weight float64 `cbor:"1,keyasint"`
+	At     uint64  `cbor:"2,keyasint"`
+}
+
+// Holding says who owns a proxy, by which token, and what it has confirmed of that owner's; an edition of 0: nothing.
+type Holding struct {
+	Owner   string  `cbor:"1,keyasint"`
+	Life    uint64  `cbor:"2,keyasint"`
+	Token   uint64  `cbor:"3,keyasint"`
+	Edition uint64  `cbor:"4,keyasint"`
+	Tables  []int   `cbor:"5,keyasint"`
+	Moves   []Stamp `cbor:"6,keyasint"` // when it was taken over from others, the last ones
+}
+
+// Base is what a proxy surely has of one class: lines, and backends of which it may have any line or none.
+type Base struct {
+	Lines map[string]float64
+	Doubt map[string]bool
+}
+
+// Move is a change of a proxy's owner. Known is false where the old one may have written what the record lacks.
+type Move struct {
+	Proxy    int
+	From, To Holding
+	Known    bool
+	Base     []Base // by class, if it is known
+}
+
+const (
+	mostOut  = 256 // lines taken out that a table remembers ...
+	leastOut = 128 // ... and how many are left once there are more
+
+	movesKept = 2 // of a proxy: two owners before this one leave it no share of theirs
+)
+
+// NewBook makes an empty record.
+func NewBook() *Book {
+	return &Book{Members: map[string]uint64{}, Lives: map[uint64]*Life{}, Proxies: map[int]Holding{},
+		Away: map[string]map[string]Seen{}}
+}
+
+// Take takes in the next entry. It is false for one that was taken in before, and for one of a life that is over: its
+// member has entered anew since, or has closed.
+func (b *Book) Take(e Entry) (moves []Move, taken bool) {
+	if e.Seq == 1 && b.Lives[e.Life] == nil {
+		b.enter(e)
+	}
+	life := b.Lives[e.Life]
+	if life == nil || b.Members[e.Member] != e.Life || e.Seq != life.Seq+1 || life.Closed {
+		return nil, false
+	}
+	life.Seq = e.Seq
+	b.Token = max(b.Token, e.Floor)
+	b.lay(life, e)
+	for _, t := range e.Told {
+		if h, ok := b.Proxies[t.Proxy]; ok && h.Token == t.Token && h.Life == e.Life && t.Edition >= h.Edition {
+			h.Edition, h.Tables = t.Edition, t.Tables
+			b.Proxies[t.Proxy] = h
+		}
+	}
+	for _, s := range e.Seen {
+		b.see(e.Member, s)
+	}
+	for _, proxy := range e.Claims {
+		moves = append(moves, b.claim(proxy, e))
+	}
+	if e.Closing {
+		life.Closed = true
+		b.unsee(e.Member)
+	}
+	b.sweep()
+	return moves, true
+}
+
+func (b *Book) enter(e Entry) {
+	b.Members[e.Member] = e.Life
+	b.Lives[e.Life] = &Life{Member: e.Member, Tables: map[int]*Table{}}
+	b.unsee(e.Member) // it has forgotten what it withdrew
+}
+
+func (b *Book) lay(life *Life, e Entry) {
+	life.Edition = max(life.Edition, e.Edition)
+	for _, laid := range e.Laid {
+		t := life.Tables[laid.Table]
+		if t == nil {
+			t = &Table{Lines: map[string]Stood{}}
+			life.Tables[laid.Table] = t
+		}
+		if e.Seq == 1 { // these are tables as they stand: what was taken out of them before nobody knows
+			t.Floor = e.Edition
+		}
+		for _, l := range laid.Lines {
+			t.Lines[l.Backend] = Stood{l.Weight, e.Edition}
+		}
+		t.trim()
+	}
+}
+
+// trim forgets the oldest of the lines taken out when there are many.
+func (t *Table) trim() {
+	var out []string
+	for id, l := range t.Lines {
+		if l.Weight == 0 {
+			out = append(out, id)
+		}
+	}
+	if len(out) <= mostOut {
+		return
+	}
+	slices.SortFunc(out, func(x, y string) int {
+		return cmp.Or(cmp.Compare(t.Lines[x].At, t.Lines[y].At), cmp.Compare(x, y))
+	})
+	for _, id := range out[:len(out)-leastOut] {
+		t.Floor = max(t.Floor, t.Lines[id].At)
+		delete(t.Lines, id)
+	}
+}
+
+func (b *Book) see(member string, s Seen) {
+	if s.Away {
+		if b.Away[s.Backend] == nil {
+			b.Away[s.Backend] = map[string]Seen{}
+		}
+		b.Away[s.Backend][member] = s
+	} else if at := b.Away[s.Backend]; at != nil {
+		if delete(at, member); len(at) == 0 {
+			delete(b.Away, s.Backend)
+		}
+	}
+}
+
+func (b *Book) unsee(member string) {
+	for _, id := range slices.Collect(maps.Keys(b.Away)) {
+		b.see(member, Seen{Backend: id})
+	}
+}
+
+// claim moves a proxy. What it holds is known if all that its last owner wrote is on the record, and if nobody else
+// can have had it since: a member off the record serves whoever comes to it, and cannot say so.
+func (b *Book) claim(proxy int, e Entry) Move {
+	from := b.Proxies[proxy]
+	b.Token++
+	m := Move{Proxy: proxy, From: from, To: Holding{Owner: e.Member, Life: e.Life, Token: b.Token}}
+	if from.Owner != "" {
+		m.To.Moves = append(slices.Clone(from.Moves), e.Stamp)
+		m.To.Moves = m.To.Moves[max(0, len(m.To.Moves)-movesKept):]
+	}
+	last := b.Lives[from.Life]
+	sure := func(id uint64) bool {
+		return b.Lives[id] != nil && b.Lives[id].Closed || id == e.Life || slices.Contains(e.Recorded, id)
+	}
+	m.Known = last != nil && len(e.Recorded) > 0 && sure(from.Life)
+	for _, id := range b.Members {
+		m.Known = m.Known && sure(id)
+	}
+	if m.Known {
+		m.Base, m.Known = b.base(from, last)
+	}
+	b.Proxies[proxy] = m.To
+	return m
+}
+
+// base is what a proxy has by the record. A line that was set after what it confirmed may have come to it or not.
+func (b *Book) base(h Holding, life *Life) (by []Base, known bool) {
+	if h.Edition == 0 || len(h.Tables) == 0 {
+		return nil, false
+	}
+	for _, number := range h.Tables {
+		t := life.Tables[number]
+		if t == nil || h.Edition < t.Floor {
+			return nil, false
+		}
+		has := Base{map[string]float64{}, map[string]bool{}}
+		for id, l := range t.Lines {
+			if l.At > h.Edition {
+				has.Doubt[id] = true
+			} else if l.Weight > 0 {
+				has.Lines[id] = l.Weight
+			}
+		}
+		by = append(by, has)
+	}
+	return by, true
+}
+
+// sweep forgets lives that are over and own nothing.
+func (b *Book) sweep() {
+	used := map[uint64]bool{}
+	for _, life := range b.Members {
+		used[life] = true
+	}
+	if len(used) == len(b.Lives) {
+		return
+	}
+	for _, h := range b.Proxies {
+		used[h.Life] = true
+	}
+	maps.DeleteFunc(b.Lives, func(id uint64, _ *Life) bool { return !used[id] })
+}
--- /dev/null
+++ b/share/check_test.go
@@ -0,0 +1,428 @@
+package share
+
+import (
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// The check plays every order of events up to a depth: members at work on one record, one proxy that dials about, kills,
+// cuts and lost answers. Real desks, book and witness; the log, the network and the proxy are the model's.
+
+var modelTerms = Terms{Lease: 3, Renew: 1, Span: 5, Messages: 16, Members: 2}
+
+// world is one state of the model.
+type world struct {
+	now     int64
+	log     []Entry
+	witness *Witness
+	book    *Book // the leader's
+	members []*player
+	stream  int // whose stream the proxy has
+	serial  int
+	lines   map[string]float64 // that the proxy really has
+	token   uint64             // the greatest that it has seen
+	written []int64            // messages to it, by time
+	broken  string
+	drawn   uint64
+}
+
+// player is a member's process, and the model of what carries its orders.
+type player struct {
+	w       *world
+	index   int
+	desk    *Desk
+	up, cut bool // cut: from the record
+	deaf    bool // its entries come through, their answers do not
+	conn    int
+	read    int // of the log
+	out     []Entry
+	joined  int // serial of the proxy's stream that it knows
+	granted int
+	token   uint64
+	line    float64
+	edition uint64   // of the last order
+	wrote   int      // serial of the stream on which it has written
+	wait    []uint64 // orders that wait for their release
+	sent    []int64
+}
+
+func (p *player) Propose(e Entry) { p.out = append(p.out, e) }
+
+func (p *player) Chance() uint64 { p.w.drawn++; return p.w.drawn }
+
+func (p *player) Learned(string, Seen) {}
+
+func (p *player) Mode(bool, string) {}
+
+func (p *player) Granted(_ int, token uint64, base []Base, spent int) {
+	p.granted, p.token, p.sent = p.joined, token, nil
+	p.Spent(0, spent)
+	if p.w.stream != p.index || p.w.serial != p.joined {
+		return // the stream is gone already
+	}
+	for _, b := range base {
+		for id, weight := range p.w.lines {
+			if !b.Doubt[id] && b.Lines[id] != weight {
+				p.w.fails("the proxy has %s %g, the base says %g", id, weight, b.Lines[id])
+			}
+		}
+		for id, weight := range b.Lines {
+			if !b.Doubt[id] && p.w.lines[id] != weight {
+				p.w.fails("the base has %s %g, the proxy %g", id, weight, p.w.lines[id])
+			}
+		}
+	}
+	if p.may() {
+		p.leaves(func() { p.w.lines = p.table() })
+	}
+}
+
+func (p *player) Spent(_, messages int) {
+	for range messages {
+		p.sent = append(p.sent, p.w.now)
+	}
+}
+
+func (p *player) Release(edition uint64) {
+	for len(p.wait) > 0 && p.wait[0] <= edition {
+		p.wait = p.wait[1:]
+		if p.granted == p.joined {
+			p.leaves(func() { p.w.lines = p.table() })
+		}
+	}
+}
+
+// table is the one line that the member has as far as it was released, besides one that never changes.
+func (p *player) table() map[string]float64 {
+	has := map[string]float64{"b": 1}
+	if p.line > 0 {
+		has["a"] = p.line
+	}
+	return has
+}
+
+// may tells whether the member may order one more message to the proxy, and counts it.
+func (p *player) may() bool {
+	p.sent = slices.DeleteFunc(p.sent, func(at int64) bool { return at <= p.w.now-modelTerms.Span })
+	if len(p.sent) >= modelTerms.Stray()+modelTerms.Own() {
+		return false
+	}
+	p.sent = append(p.sent, p.w.now)
+	return true
+}
+
+// leaves has a message leave; it comes to the proxy if this is its stream.
+func (p *player) leaves(what func()) {
+	w := p.w
+	if w.stream != p.index || w.serial != p.joined || p.token > 0 && p.token < w.token {
+		return
+	}
+	w.token, p.wrote = max(w.token, p.token), w.serial
+	w.written = slices.DeleteFunc(w.written, func(at int64) bool { return at <= w.now-modelTerms.Span })
+	if w.written = append(w.written, w.now); len(w.written) > modelTerms.Messages {
+		w.fails("%d messages within the span", len(w.written))
+	}
+	what()
+}
+
+func (w *world) fails(format string, args ...any) {
+	if w.broken == "" {
+		w.broken = fmt.Sprintf(format, args...)
+	}
+}
+
+// settle lets everything on its way arrive, but for what is cut.
+func (w *world) settle() {
+	repeated := map[*player]bool{}
+	for moved := true; moved; {
+		moved = false
+		for _, p := range w.members {
+			if !p.up || p.cut {
+				continue
+			}
+			for len(p.out) > 0 && !repeated[p] {
+				e := p.out[0]
+				p.out, moved = p.out[1:], true
+				w.witness.Came(e.Life, e.Seq, p.conn, w.now)
+				e.Recorded, e.Stamp = w.witness.Recorded(w.book, w.now), Stamp{1, w.now}
+				w.log = append(w.log, e)
+				w.book.Take(e)
+				if p.deaf { // and is repeated, over a connection anew
+					p.conn++
+					p.out, repeated[p] = append(p.out, e), true
+					break
+				}
+				p.desk.Answered(e.Life, e.Seq, w.now)
+			}
+			for ; p.read < len(w.log); p.read++ {
+				p.desk.Recorded(w.log[p.read], w.now)
+				moved = true
+			}
+		}
+	}
+}
+
+func (w *world) start(p *player) {
+	p.up, p.cut, p.deaf, p.read, p.out, p.wait, p.sent, p.granted = true, false, false, 0, nil, nil, nil, 0
+	p.conn, p.line, p.edition, p.token, p.joined, p.wrote = p.conn+1, 0, 0, 0, 0, 0
+	p.desk = New(p, fmt.Sprint("n", p.index), modelTerms, w.now)
+	p.desk.Laid([]Laid{{0, []Line{{"b", 1}}}}, w.now)
+}
+
+func (w *world) dial(p *player) {
+	if last := w.members[w.stream]; last.up && last.joined == w.serial {
+		last.desk.Left(0)
+		last.granted = -1
+	}
+	w.serial++
+	w.stream = p.index
+	if p.up {
+		p.joined = w.serial
+		p.desk.Joined(0, w.now)
+	}
+}
+
+// event plays one event; false where it can do nothing.
+func (w *world) event(kind byte, p *player) bool {
+	switch kind {
+	case 't':
+		w.now++
+		for _, p := range w.members {
+			if p.up {
+				p.desk.Elapsed(w.now)
+			}
+		}
+	case 'd':
+		if !p.up {
+			return false
+		}
+		w.dial(p)
+	case 'o':
+		if !p.up || p.granted == p.joined && !p.may() {
+			return false
+		}
+		p.line = 1 - p.line
+		p.wait = append(p.wait, 1<<62)
+		p.edition = p.desk.Edition() + 1
+		p.wait[len(p.wait)-1] = p.edition
+		p.desk.Laid([]Laid{{0, []Line{{"a", p.line}}}}, w.now)
+	case 'c':
+		if p.index != w.stream || !p.up || p.granted != p.joined || len(p.wait) > 0 || p.wrote != w.serial {
+			return false
+		}
+		p.desk.Confirmed(0, p.desk.Edition(), []int{0})
+	case 'x':
+		if !p.up || p.cut {
+			return false
+		}
+		p.cut = true
+	case 'l':
+		if !p.up || p.deaf || p.cut {
+			return false
+		}
+		p.deaf = true
+	case 'h':
+		if !p.up || !p.cut && !p.deaf {
+			return false
+		}
+		p.cut, p.deaf, p.conn = false, false, p.conn+1
+	case 'k':
+		if !p.up {
+			return false
+		}
+		p.up = false
+	case 's':
+		if p.up {
+			return false
+		}
+		w.start(p)
+	case 'f': // it writes as much as it may
+		if !p.up || p.granted != p.joined {
+			return false
+		}
+		for p.may() {
+			p.leaves(func() {})
+		}
+	}
+	w.settle()
+	return true
+}
+
+func begin() *world {
+	w := &world{now: 100, witness: NewWitness(modelTerms), book: NewBook(), lines: map[string]float64{}}
+	for i := range modelTerms.Members {
+		w.members = append(w.members, &player{w: w, index: i})
+		w.start(w.members[i])
+	}
+	w.settle()
+	for range 3 {
+		w.event('t', nil)
+	}
+	w.dial(w.members[0])
+	w.settle()
+	w.event('c', w.members[0])
+	w.event('t', nil)
+	w.written = nil
+	return w
+}
+
+// key tells states apart, whenever they came about.
+func (w *world) key() uint64 {
+	h := fnv.New64a()
+	since := func(at int64) int64 { return max(w.now-at, -99) }
+	fmt.Fprint(h, w.stream, w.lines, w.token, w.serial-w.members[w.stream].joined)
+	for _, at := range w.written {
+		fmt.Fprint(h, " ", since(at))
+	}
+	for _, p := range w.members {
+		d := p.desk
+		fmt.Fprint(h, "|", p.up, p.cut, p.deaf, p.joined == w.serial, p.granted == p.joined, p.wrote == w.serial, p.line, p.wait, len(w.log)-p.read, len(p.out),
+			d.alone, since(d.stood), since(d.last), len(d.next.Claims), len(d.next.Laid), len(d.next.Told), d.under != nil, d.tables)
+		for _, at := range p.sent {
+			fmt.Fprint(h, " ", since(at))
+		}
+		if c := d.proxies[0]; c != nil {
+			fmt.Fprint(h, *c)
+		}
+		for _, at := range d.strays[0] {
+			fmt.Fprint(h, " ", since(at))
+		}
+		if a, ok := w.witness.came[d.life]; ok {
+			fmt.Fprint(h, since(a.at), since(a.last), since(a.sure))
+		}
+	}
+	hold := w.book.Proxies[0]
+	for _, move := range hold.Moves {
+		fmt.Fprint(h, " ", since(move.At))
+	}
+	fmt.Fprint(h, hold.Owner, hold.Edition, w.book.Members[hold.Owner] == hold.Life)
+	if life := w.book.Lives[hold.Life]; life != nil && life.Tables[0] != nil {
+		for _, id := range slices.Sorted(maps.Keys(life.Tables[0].Lines)) {
+			fmt.Fprint(h, id, life.Tables[0].Lines[id])
+		}
+	}
+	return h.Sum64()
+}
+
+// step is one event: what happens, and to which member.
+type step struct {
+	kind byte
+	who  int
+}
+
+// path reads steps from words like x0 t0 d1.
+func path(words string) (steps []step) {
+	for _, word := range strings.Fields(words) {
+		steps = append(steps, step{word[0], int(word[1] - '0')})
+	}
+	return steps
+}
+
+// explore plays every order of events up to a depth, after those given first. It gives the shortest breach, or "" if
+// there is none, and how many states there are.
+func explore(first string, depth int, plant func(*world)) (breach string, states int) {
+	var steps []step
+	for _, kind := range "dockslxhf" {
+		for i := range modelTerms.Members {
+			steps = append(steps, step{byte(kind), i})
+		}
+	}
+	steps = append(steps, step{'t', 0})
+	play := func(path []step) (*world, bool) {
+		w := begin()
+		plant(w)
+		for _, s := range path {
+			if !w.event(s.kind, w.members[s.who]) {
+				return w, false
+			}
+			plant(w)
+		}
+		return w, true
+	}
+	seen, level := map[uint64]bool{}, [][]step{path(first)}
+	for range depth {
+		var next [][]step
+		for _, path := range level {
+			for _, s := range steps {
+				further := append(slices.Clone(path), s)
+				w, ok := play(further)
+				if !ok {
+					continue
+				}
+				if w.broken != "" {
+					var words []string
+					for _, s := range further {
+						words = append(words, fmt.Sprintf("%c%d", s.kind, s.who))
+					}
+					return strings.Join(words, " ") + ": " + w.broken, len(seen)
+				}
+				if key := w.key(); !seen[key] {
+					seen[key] = true
+					next = append(next, further)
+				}
+			}
+		}
+		level = next
+	}
+	return "", len(seen)
+}
+
+func TestEveryOrder(t *testing.T) {
+	depth := 4
+	if given, err := strconv.Atoi(os.Getenv("SHARE_DEPTH")); err == nil {
+		depth = given // 6 takes a minute
+	}
+	sound := func(*world) {}
+	for _, story := range []struct {
+		name, first string
+		members     int
+		depth       int
+	}{
+		{"two members", "", 2, depth},
+		{"two members, one of them about to go off the record", "x0 t0 t0", 2, depth - 1},
+		{"two members, a proxy that moves back and forth", "f0 d1 f1", 2, depth - 1},
+		{"three members", "", 3, depth - 1},
+	} {
+		t.Run(story.name, func(t *testing.T) {
+			modelTerms.Members, modelTerms.Messages = story.members, 8*story.members
+			breach, states := explore(story.first, story.depth, sound)
+			if breach != "" {
+				t.Errorf("after %s", breach)
+			}
+			t.Logf("depth %d, %d states", story.depth, states)
+		})
+	}
+	modelTerms.Members, modelTerms.Messages = 2, 16
+	for _, fault := range []struct {
+		name, first, finds string
+		depth              int
+		plant              func(*world)
+	}{
+		{"a witness that vouches for everybody", "x0 t0 t0", "the proxy has a 1, the base says 0", 3,
+			func(w *world) { w.witness.lease = 1 << 40 }},
+		{"a record that forgets who had a proxy before", "f0 d1", "17 messages within the span", 3, func(w *world) {
+			for _, book := range []*Book{w.book, w.members[0].desk.book, w.members[1].desk.book} {
+				h := book.Proxies[0]
+				h.Moves = nil
+				book.Proxies[0] = h
+			}
+			for _, p := range w.members {
+				clear(p.desk.strays)
+			}
+		}},
+		{"orders that leave before they stand on the record", "l0 t0", "the proxy has a 1, the base says 0", 3,
+			func(w *world) { w.members[0].Release(1 << 60) }},
+	} {
+		t.Run("it finds "+fault.name, func(t *testing.T) {
+			if breach, _ := explore(fault.first, fault.depth, fault.plant); !strings.Contains(breach, fault.finds) {
+				t.Errorf("found %q", breach)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,252 @@
+package share
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+var terms = Terms{Lease: 1000, Renew: 100, Span: 10_000, Messages: 36, Members: 3}
+
+// place notes what a desk asks for.
+type place struct {
+	proposed []Entry
+	granted  map[int]string
+	spent    map[int]int
+	released uint64
+	learned  []string
+	modes    []bool
+	drawn    uint64
+}
+
+func newPlace() *place { return &place{granted: map[int]string{}, spent: map[int]int{}} }
+
+func (p *place) Propose(e Entry) { p.proposed = append(p.proposed, e) }
+func (p *place) Granted(proxy int, token uint64, base []Base, spent int) {
+	p.granted[proxy] = fmt.Sprint(token, " ", base != nil, " ", spent)
+}
+func (p *place) Spent(proxy, messages int)     { p.spent[proxy] += messages }
+func (p *place) Release(edition uint64)        { p.released = edition }
+func (p *place) Learned(member string, s Seen) { p.learned = append(p.learned, member+" "+s.Backend) }
+func (p *place) Mode(alone bool, _ string)     { p.modes = append(p.modes, alone) }
+func (p *place) Chance() uint64                { p.drawn++; return p.drawn * 1000 }
+
+// stands puts the last proposal on the record, stamped, and answers it.
+func (p *place) stands(d *Desk, now int64, recorded ...uint64) Entry {
+	e := p.proposed[len(p.proposed)-1]
+	e.Recorded, e.Stamp = recorded, Stamp{7, now}
+	d.Recorded(e, now)
+	d.Answered(e.Life, e.Seq, now)
+	return e
+}
+
+// works has a desk enter, and others that are at work beside it.
+func works(t *testing.T) (*place, *Desk) {
+	t.Helper()
+	p := newPlace()
+	d := New(p, "n0", terms, 0)
+	d.Elapsed(0)
+	p.stands(d, 0)
+	for i, name := range []string{"n1", "n2"} {
+		d.Recorded(Entry{Member: name, Life: uint64(i + 1), Seq: 1, Stamp: Stamp{7, 0}}, 0)
+	}
+	return p, d
+}
+
+func TestDesk(t *testing.T) {
+	t.Run("a proxy is granted once its claim stands, with what the last owner told it", func(t *testing.T) {
+		p, d := works(t)
+		d.Recorded(Entry{Member: "n1", Life: 1, Seq: 2, Claims: []int{5}, Edition: 1, Stamp: Stamp{7, 10},
+			Laid: []Laid{{0, []Line{{"a", 1}, {"b", 2}}}}}, 10)
+		d.Recorded(Entry{Member: "n1", Life: 1, Seq: 3, Edition: 1, Stamp: Stamp{7, 20},
+			Told: []Told{{5, 1, 1, []int{0, 0}}}}, 20)
+		d.Joined(5, 30)
+		if len(p.granted) > 0 {
+			t.Fatalf("granted %v before its claim stands", p.granted)
+		}
+		p.stands(d, 40, 1, 2, 1000)
+		if h := d.book.Proxies[5]; p.granted[5] != "2 true 0" || h.Owner != "n0" || d.Owned() != 1 {
+			t.Errorf("granted %v, on the record %+v", p.granted, h)
+		}
+	})
+	t.Run("where anybody may have written off the record, what it holds is not known", func(t *testing.T) {
+		for _, recorded := range [][]uint64{{1, 1000}, {2, 1000}, nil} {
+			p, d := works(t)
+			d.Recorded(Entry{Member: "n1", Life: 1, Seq: 2, Claims: []int{5}, Edition: 1, Laid: []Laid{{0, []Line{{"a", 1}}}}}, 10)
+			d.Recorded(Entry{Member: "n1", Life: 1, Seq: 3, Edition: 1, Told: []Told{{5, 1, 1, []int{0}}}}, 20)
+			d.Joined(5, 30)
+			if p.stands(d, 40, recorded...); p.granted[5] != "2 false 0" {
+				t.Errorf("recorded %v: granted %v", recorded, p.granted)
+			}
+		}
+	})
+	t.Run("orders wait for the record, and for no longer than a lease", func(t *testing.T) {
+		p, d := works(t)
+		edition := d.Laid([]Laid{{0, []Line{{"a", 1}}}}, 100)
+		if p.released >= edition {
+			t.Error("released before it stands")
+		}
+		if d.Elapsed(999); d.Alone() || p.released >= edition {
+			t.Error("off the record too early")
+		}
+		if d.Elapsed(1100); !d.Alone() || p.released != edition || !slices.Equal(p.modes, []bool{true}) {
+			t.Errorf("alone %v, released %d, modes %v", d.Alone(), p.released, p.modes)
+		}
+		if d.Joined(3, 1200); p.granted[3] != fmt.Sprint("0 false ", terms.Own()) {
+			t.Errorf("granted %v", p.granted)
+		}
+		d.Elapsed(1200 + terms.Span) // it has of that proxy no more than every member has
+		if p.spent[3] != terms.Own() {
+			t.Errorf("spent %v", p.spent)
+		}
+	})
+	t.Run("back on the record it enters anew, with its tables and claims; nothing of the old life counts", func(t *testing.T) {
+		p, d := works(t)
+		d.Joined(4, 50)
+		d.Laid([]Laid{{0, []Line{{"a", 1}, {"b", 1}}}}, 60)
+		old := p.proposed[len(p.proposed)-1]
+		d.Elapsed(1100)
+		d.Laid([]Laid{{0, []Line{{"a", 0}}}}, 1150)
+		e := p.stands(d, 1200)
+		if e.Seq != 1 || e.Life == old.Life || !slices.Equal(e.Claims, []int{4}) || len(e.Laid) != 1 || d.Alone() {
+			t.Errorf("entered with %+v, alone %v", e, d.Alone())
+		}
+		p.stands(d, 1300)
+		if _, taken := d.book.Take(old); taken {
+			t.Error("an entry of the life that is over was taken in")
+		}
+		if life := d.book.Lives[e.Life]; life.Tables[0].Lines["a"].Weight != 0 || life.Tables[0].Lines["b"].Weight != 1 {
+			t.Errorf("on the record %+v", life.Tables[0])
+		}
+	})
+	t.Run("a claim that was under way for an older stream does not grant the newer", func(t *testing.T) {
+		p, d := works(t)
+		d.Joined(4, 50)
+		d.Left(4)
+		d.Joined(4, 60)
+		if p.stands(d, 70, 1, 2, 1000); len(p.granted) > 0 {
+			t.Errorf("granted %v by the older claim", p.granted)
+		}
+		if p.stands(d, 80, 1, 2, 1000); p.granted[4] != "2 false 0" {
+			t.Errorf("granted %v", p.granted)
+		}
+	})
+	t.Run("of a proxy that comes and goes between owners no more messages are spent than the limit", func(t *testing.T) {
+		p, d := works(t)
+		for i, name := range []string{"n1", "n2"} {
+			d.Recorded(Entry{Member: name, Life: uint64(i + 1), Seq: 2, Claims: []int{5}, Stamp: Stamp{7, int64(100 + i)}}, 100)
+		}
+		d.Joined(5, 200)
+		if p.stands(d, 210); p.granted[5] != fmt.Sprint("3 false ", terms.Own()) {
+			t.Errorf("granted %v with two others' shares standing", p.granted)
+		}
+		if most := 2*terms.Members*terms.Stray() + 2*terms.Own(); most > terms.Messages {
+			t.Errorf("%d messages by all together", most)
+		}
+	})
+	t.Run("how old a move is counts by one leader's clock, also for who has just started", func(t *testing.T) {
+		p := newPlace()
+		d := New(p, "n0", terms, 0)
+		d.Elapsed(0)
+		for i, name := range []string{"n1", "n2", "n1"} {
+			d.Recorded(Entry{Member: name, Life: uint64(i + 1), Seq: 1, Claims: []int{5}, Stamp: Stamp{7, int64(i)}}, 0)
+		}
+		d.Joined(5, 0)
+		e := p.proposed[0]
+		e.Stamp = Stamp{7, 11_000}
+		d.Recorded(e, 1)
+		d.Answered(e.Life, e.Seq, 1)
+		e = p.proposed[1]
+		e.Stamp = Stamp{7, 11_001}
+		if d.Recorded(e, 2); p.granted[5] != "4 false 0" {
+			t.Errorf("granted %v: the others' shares are long over", p.granted)
+		}
+	})
+	t.Run("one that is heard although another claimed it is claimed again, one that is silent is not", func(t *testing.T) {
+		p, d := works(t)
+		for _, proxy := range []int{4, 5} {
+			d.Joined(proxy, 50)
+		}
+		for range 2 {
+			p.stands(d, 60)
+		}
+		d.Recorded(Entry{Member: "n1", Life: 1, Seq: 2, Claims: []int{4, 5}, Stamp: Stamp{7, 70}}, 70)
+		if d.Owned() != 0 || p.spent[4] != terms.Own() {
+			t.Errorf("owns %d, spent %v", d.Owned(), p.spent)
+		}
+		d.Spoke(4, 60, 80) // what was heard before says nothing
+		d.Spoke(5, 300, 300)
+		d.Elapsed(300)
+		p.stands(d, 310)
+		if p.stands(d, 320); d.book.Proxies[5].Owner != "n0" || d.book.Proxies[4].Owner != "n1" {
+			t.Errorf("on the record %+v", d.book.Proxies)
+		}
+	})
+}
+
+func TestBook(t *testing.T) {
+	t.Run("a line set after what a proxy confirmed is in doubt, also one that was taken out", func(t *testing.T) {
+		b := NewBook()
+		b.Take(Entry{Member: "n0", Life: 1, Seq: 1, Claims: []int{3}, Edition: 1,
+			Laid: []Laid{{0, []Line{{"a", 1}, {"b", 1}, {"c", 1}}}}})
+		b.Take(Entry{Member: "n0", Life: 1, Seq: 2, Edition: 2, Laid: []Laid{{0, []Line{{"a", 0.5}, {"b", 0}}}},
+			Told: []Told{{3, 1, 1, []int{0}}}})
+		moves, _ := b.Take(Entry{Member: "n1", Life: 2, Seq: 1, Claims: []int{3}, Recorded: []uint64{1}})
+		base := moves[0].Base
+		if len(base) != 1 || !base[0].Doubt["a"] || !base[0].Doubt["b"] || base[0].Doubt["c"] || base[0].Lines["c"] != 1 {
+			t.Errorf("base %+v", base)
+		}
+	})
+	t.Run("what is remembered of lines taken out has an end, from which on a base is not known", func(t *testing.T) {
+		b := NewBook()
+		b.Take(Entry{Member: "n0", Life: 1, Seq: 1, Claims: []int{3, 4}, Edition: 1, Laid: []Laid{{0, []Line{{"a", 1}}}}})
+		b.Take(Entry{Member: "n0", Life: 1, Seq: 2, Edition: 1, Told: []Told{{3, 1, 1, []int{0}}}})
+		for seq := uint64(3); seq < 400; seq++ {
+			b.Take(Entry{Member: "n0", Life: 1, Seq: seq, Edition: seq,
+				Laid: []Laid{{0, []Line{{fmt.Sprint("s", seq), 0}}}}})
+		}
+		b.Take(Entry{Member: "n0", Life: 1, Seq: 400, Edition: 400, Told: []Told{{4, 2, 399, []int{0}}}})
+		if n := len(b.Lives[1].Tables[0].Lines); n > mostOut+1 {
+			t.Errorf("%d lines are remembered", n)
+		}
+		moves, _ := b.Take(Entry{Member: "n1", Life: 2, Seq: 1, Claims: []int{3, 4}, Recorded: []uint64{1}})
+		if moves[0].Known || !moves[1].Known {
+			t.Errorf("moves %+v", moves)
+		}
+	})
+	t.Run("an entry counts once, a closed life not at all, and lives that own nothing are forgotten", func(t *testing.T) {
+		b := NewBook()
+		first := Entry{Member: "n0", Life: 1, Seq: 1, Claims: []int{3}}
+		b.Take(first)
+		if _, taken := b.Take(first); taken || b.Token != 1 {
+			t.Errorf("taken twice, token %d", b.Token)
+		}
+		b.Take(Entry{Member: "n0", Life: 1, Seq: 2, Closing: true})
+		if _, taken := b.Take(Entry{Member: "n0", Life: 1, Seq: 3, Claims: []int{4}}); taken {
+			t.Error("a closed life went on")
+		}
+		b.Take(Entry{Member: "n0", Life: 2, Seq: 1, Floor: 40})
+		if len(b.Lives) != 2 {
+			t.Errorf("%d lives while the older owns a proxy", len(b.Lives))
+		}
+		if moves, _ := b.Take(Entry{Member: "n1", Life: 9, Seq: 1, Claims: []int{3}}); len(b.Lives) != 2 || moves[0].To.Token != 41 {
+			t.Errorf("lives %v, moves %+v", b.Lives, moves)
+		}
+	})
+	t.Run("a withdrawal stands until its member takes it back, or enters anew", func(t *testing.T) {
+		p, d := works(t)
+		for member, life := range map[string]uint64{"n1": 1, "n2": 2} {
+			d.Recorded(Entry{Member: member, Life: life, Seq: 2, Seen: []Seen{{Backend: "a", Tries: 5, Failed: 5, Away: true}}}, 10)
+		}
+		d.Recorded(Entry{Member: "n1", Life: 1, Seq: 3, Seen: []Seen{{Backend: "a", Tries: 5}}}, 20)
+		if p.learned = nil; len(d.book.Away["a"]) != 1 {
+			t.Errorf("withdrawn %v", d.book.Away)
+		}
+		if d.Restored(d.book, 30); !slices.Equal(p.learned, []string{"n2 a"}) {
+			t.Errorf("learned %v", p.learned)
+		}
+		if d.Recorded(Entry{Member: "n2", Life: 5, Seq: 1}, 40); len(d.book.Away) != 0 {
+			t.Errorf("withdrawn %v", d.book.Away)
+		}
+	})
+}
--- /dev/null
+++ b/share/witness.go
@@ -0,0 +1,64 @@
+package share
+
+// Witness is what the leader of the record knows of the other members by its own clock: until when each of them has
+// surely written nothing off the record. A member goes off the record no sooner than a lease after it proposed the
+// last entry of which it was answered that it stands. Entries of a member come one after the other, the next once the
+// last was answered, so that with entry n+1 on the same connection it is known that n was answered, that n was proposed
+// after the answer to n-1, and that this was after n-1 had come. Counting the lease from there is never too long,
+// however late anything is under way. A new leader has seen nothing yet, and vouches for nobody.
+type Witness struct {
+	lease   int64
+	members int
+	came    map[uint64]arrivals // by life
+}
+
+// arrivals are those of the last entries of a life, in a row on one connection; -1 stands for none.
+type arrivals struct {
+	over     int // the connection
+	seq      uint64
+	at, last int64 // when that one came, and the one before
+	sure     int64 // the lease counts from then on at least
+}
+
+// NewWitness makes a witness for what all members agree on.
+func NewWitness(terms Terms) *Witness {
+	return &Witness{terms.Lease, terms.Members, map[uint64]arrivals{}}
+}
+
+// Came takes an entry as it comes to the leader over a connection.
+func (w *Witness) Came(life, seq uint64, over int, now int64) {
+	a, known := w.came[life]
+	switch {
+	case known && a.over == over && seq == a.seq+1:
+		if a.last >= 0 {
+			a.sure = max(a.sure, a.last)
+		}
+		a.last, a.at, a.seq = a.at, now, seq
+	case known && a.over == over && seq == a.seq: // a repeat: the first coming counts
+	default:
+		a = arrivals{over: over, seq: seq, at: now, last: -1, sure: a.sure}
+	}
+	if !known {
+		a.sure = -1
+	}
+	w.came[life] = a
+}
+
+// Recorded names the lives that have surely written nothing off the record so far. One that has not entered yet may
+// serve off the record as well, so it names none before all have.
+func (w *Witness) Recorded(book *Book, now int64) (lives []uint64) {
+	for id, life := range book.Lives {
+		if a, ok := w.came[id]; life.Closed || ok && a.sure >= 0 && now-a.sure < w.lease {
+			lives = append(lives, id)
+		}
+	}
+	for id, a := range w.came {
+		if book.Lives[id] == nil && now-a.at > w.lease { // it never got in, or is forgotten
+			delete(w.came, id)
+		}
+	}
+	if len(book.Members) < w.members {
+		return nil
+	}
+	return lives
+}
