replica/: the shared record on hashicorp/raft, over TLS between members that know each other

Need: what package share decides on has to stand at a majority of members before it counts. Certificates name members, and each speaks for itself only.

--- /dev/null
+++ b/replica/draw.go
@@ -0,0 +1,19 @@
+package replica
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"time"
+
+	"go.etcd.io/bbolt"
+)
+
+// draw is a number drawn anew, never 0.
+func draw() uint64 {
+	var b [8]byte
+	rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:]) | 1
+}
+
+// boltOptions has a second process on the same folder told so, not kept waiting.
+func boltOptions() *bbolt.Options { return &bbolt.Options{Timeout: time.Second} }
--- /dev/null
+++ b/replica/link.go
@@ -0,0 +1,332 @@
+package replica
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/raft"
+)
+
+// Credentials are the files that a member shows and checks others by. Where all are empty it speaks plain text, which
+// is for loopback alone.
+type Credentials struct {
+	Certificate, Key, Authority string // paths, PEM
+}
+
+// pair reads them; nil for plain text.
+func (c Credentials) pair() (*tls.Config, error) {
+	if c == (Credentials{}) {
+		return nil, nil
+	}
+	own, err := tls.LoadX509KeyPair(c.Certificate, c.Key)
+	if err != nil {
+		return nil, fmt.Errorf("certificate and key: %w", err)
+	}
+	text, err := os.ReadFile(c.Authority)
+	if err != nil {
+		return nil, fmt.Errorf("authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, fmt.Errorf("authority: no certificate in %s", c.Authority)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{own}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13}, nil
+}
+
+// What a connection is for, its first byte.
+const (
+	forRaft  = 'r' // followed by the id that is meant: a process that has forgotten its votes has another
+	forCalls = 'c'
+)
+
+const (
+	dialPatience = 500 * time.Millisecond
+	callPatience = time.Second
+	mostCall     = 4 << 20 // bytes of one call or answer
+)
+
+var (
+	errForeign = errors.New("its certificate names no member")
+	errOther   = errors.New("another id is meant")
+	errNoAddr  = errors.New("not a member's address")
+)
+
+// link is a member's end of the connections between members: raft's own, and calls.
+type link struct {
+	name    string
+	members map[string]string // addresses by name
+	secure  *tls.Config
+	id      func() string
+	serve   func(conn net.Conn, names []string, over int)
+	refused func(from net.Addr, why error)
+
+	listener net.Listener
+	forRaft  chan net.Conn
+	ended    chan struct{}
+	once     sync.Once
+	open     sync.WaitGroup
+	mutex    sync.Mutex
+	conns    map[net.Conn]bool
+	serial   int
+	bytes    atomic.Int64 // that went out and came in
+}
+
+// counted counts what passes over a connection, and forgets it when it is closed.
+type counted struct {
+	net.Conn
+	of *link
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.of.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.of.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Close() error {
+	c.of.mutex.Lock()
+	delete(c.of.conns, c.Conn)
+	c.of.mutex.Unlock()
+	return c.Conn.Close()
+}
+
+// keep has a connection closed with the link.
+func (l *link) keep(conn net.Conn) net.Conn {
+	l.mutex.Lock()
+	l.conns[conn] = true
+	l.mutex.Unlock()
+	select {
+	case <-l.ended:
+		conn.Close()
+	default:
+	}
+	return counted{conn, l}
+}
+
+func (l *link) run() {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			select {
+			case <-l.ended:
+				return
+			case <-time.After(10 * time.Millisecond): // no descriptor left: others may close some
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		l.open.Go(func() {
+			if err := l.accept(l.keep(conn)); err != nil {
+				conn.Close()
+				l.refused(conn.RemoteAddr(), err)
+			}
+		})
+	}
+}
+
+// accept checks who calls, and hands the connection on.
+func (l *link) accept(conn net.Conn) error {
+	conn.SetDeadline(time.Now().Add(dialPatience))
+	var names []string // as whom it may speak
+	if l.secure == nil {
+		for name := range l.members {
+			names = append(names, name)
+		}
+	} else {
+		secured := tls.Server(conn, l.secure)
+		if err := secured.Handshake(); err != nil {
+			return fmt.Errorf("handshake: %w", err)
+		}
+		leaf := secured.ConnectionState().PeerCertificates[0]
+		for name := range l.members {
+			if leaf.VerifyHostname(name) == nil {
+				names = append(names, name)
+			}
+		}
+		conn = secured
+	}
+	if len(names) == 0 {
+		return errForeign
+	}
+	head := make([]byte, 1)
+	if _, err := io.ReadFull(conn, head); err != nil {
+		return fmt.Errorf("its first byte: %w", err)
+	}
+	switch head[0] {
+	case forCalls:
+		conn.SetDeadline(time.Time{})
+		l.mutex.Lock()
+		l.serial++
+		over := l.serial
+		l.mutex.Unlock()
+		l.serve(conn, names, over)
+		conn.Close()
+		return nil
+	case forRaft:
+		var meant string
+		if err := receive(conn, &meant); err != nil {
+			return err
+		}
+		if meant != l.id() {
+			return errOther
+		}
+		conn.SetDeadline(time.Time{})
+		select {
+		case l.forRaft <- conn:
+			return nil
+		case <-l.ended:
+			return net.ErrClosed
+		}
+	}
+	return fmt.Errorf("it is for %q", head)
+}
+
+// dial connects to a member by its name, for one purpose.
+func (l *link) dial(ctx context.Context, name string, purpose byte) (net.Conn, error) {
+	address, ok := l.members[name]
+	if !ok {
+		return nil, errNoAddr
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialPatience)
+	defer cancel()
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn := l.keep(raw)
+	conn.SetDeadline(time.Now().Add(dialPatience))
+	if l.secure != nil {
+		as := l.secure.Clone()
+		as.ServerName = name
+		conn = tls.Client(conn, as)
+	}
+	if _, err := conn.Write([]byte{purpose}); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	conn.SetDeadline(time.Time{})
+	return conn, nil
+}
+
+// close ends the link with all its connections.
+func (l *link) close() {
+	l.once.Do(func() {
+		close(l.ended)
+		l.listener.Close()
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		for conn := range l.conns {
+			conn.Close()
+		}
+	})
+}
+
+// layer is the link as one life of raft sees it.
+type layer struct {
+	*link
+	address raft.ServerAddress
+	over    chan struct{}
+}
+
+// Accept waits for a connection meant for us.
+func (l *layer) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.forRaft:
+		return conn, nil
+	case <-l.over:
+		return nil, net.ErrClosed
+	case <-l.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends this life's part; the link goes on.
+func (l *layer) Close() error {
+	close(l.over)
+	return nil
+}
+
+// Addr is our address as raft writes it: a name and the id that is meant.
+func (l *layer) Addr() net.Addr { return written(l.address) }
+
+type written raft.ServerAddress
+
+func (w written) Network() string { return "member" }
+func (w written) String() string  { return string(w) }
+
+// Dial connects to raft at a member, and says which id is meant.
+func (l *layer) Dial(address raft.ServerAddress, _ time.Duration) (net.Conn, error) {
+	name, id, ok := strings.Cut(string(address), "#")
+	if !ok {
+		return nil, errNoAddr
+	}
+	conn, err := l.dial(context.Background(), name, forRaft)
+	if err != nil {
+		return nil, err
+	}
+	conn.SetWriteDeadline(time.Now().Add(dialPatience))
+	if err := send(conn, id); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	conn.SetWriteDeadline(time.Time{})
+	return conn, nil
+}
+
+// addressOf is how raft writes a member of some id.
+func addressOf(name, id string) raft.ServerAddress { return raft.ServerAddress(name + "#" + id) }
+
+// nameOf is the member that an id belongs to.
+func nameOf(id raft.ServerID) string {
+	name, _, _ := strings.Cut(string(id), "/")
+	return name
+}
+
+// send writes one thing, its length before it.
+func send(to io.Writer, what any) error {
+	body, err := cbor.Marshal(what)
+	if err != nil {
+		return err
+	}
+	_, err = to.Write(slices.Concat(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body))
+	return err
+}
+
+// receive reads one.
+func receive(from io.Reader, into any) error {
+	var head [4]byte
+	if _, err := io.ReadFull(from, head[:]); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size > mostCall {
+		return fmt.Errorf("a call of %d bytes, %d at most", size, mostCall)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(from, body); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(body, into)
+}
--- /dev/null
+++ b/replica/machine.go
@@ -0,0 +1,85 @@
+package replica
+
+import (
+	"io"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/raft"
+
+	"wheelrill/share"
+)
+
+// machine takes the entries of raft's log into a book, and hands them on in their order.
+type machine struct {
+	events Events
+	failed func(err error)
+
+	mutex sync.Mutex
+	book  *share.Book
+	bytes int // of the last snapshot
+}
+
+// Apply takes one entry in. One that cannot be read stands on the record of every member alike, and changes nothing.
+func (m *machine) Apply(l *raft.Log) any {
+	var e share.Entry
+	if err := cbor.Unmarshal(l.Data, &e); err != nil {
+		m.failed(err)
+		return nil
+	}
+	m.mutex.Lock()
+	m.book.Take(e)
+	m.mutex.Unlock()
+	m.events.Recorded(e)
+	return nil
+}
+
+// with looks at the book.
+func (m *machine) with(what func(*share.Book)) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	what(m.book)
+}
+
+// Snapshot gives the book as it stands.
+func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	body, err := cbor.Marshal(m.book)
+	m.bytes = len(body)
+	return snapshot(body), err
+}
+
+// Restore takes a book in place of all entries before.
+func (m *machine) Restore(from io.ReadCloser) error {
+	defer from.Close()
+	body, err := io.ReadAll(from)
+	if err != nil {
+		return err
+	}
+	ours, theirs := share.NewBook(), share.NewBook()
+	for _, book := range []*share.Book{ours, theirs} {
+		if err := cbor.Unmarshal(body, book); err != nil {
+			return err
+		}
+	}
+	m.mutex.Lock()
+	m.book, m.bytes = ours, len(body)
+	m.mutex.Unlock()
+	m.events.Restored(theirs)
+	return nil
+}
+
+type snapshot []byte
+
+// Persist writes it.
+func (s snapshot) Persist(to raft.SnapshotSink) error {
+	if _, err := to.Write(s); err != nil {
+		to.Cancel()
+		return err
+	}
+	return to.Close()
+}
+
+// Release does nothing: a snapshot holds no more than its bytes.
+func (s snapshot) Release() {}
