--- /dev/null
+++ b/controller/base_test.go
@@ -0,0 +1,93 @@
+package controller
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"wheelrill/decide"
+	"wheelrill/share"
+)
+
+// taken makes tables of ten lines for two classes, and a proxy that comes from another owner with what is given.
+func taken(base share.Base, brought map[string]float64) (*tables, *hearer, *peer) {
+	to := someTables(2)
+	h, p := heard(to, 0, false)
+	for class := range h.lines {
+		h.lines[class] = maps.Clone(brought)
+		h.levels[class] = []float64{2, 0}
+	}
+	for b := range 10 {
+		to.SetLine(0, b, 1)
+	}
+	to.streams[0].base = []share.Base{base, base}
+	return to, h, p
+}
+
+func TestBase(t *testing.T) {
+	ten := map[string]float64{}
+	for b := range 10 {
+		ten[fmt.Sprint("s-", b)] = 1
+	}
+	// quoted is a table as the record has it, which keeps names as they are written.
+	quoted := func(lines map[string]float64) map[string]float64 {
+		of := map[string]float64{}
+		for id, weight := range lines {
+			of[fmt.Sprintf("%q", id)] = weight
+		}
+		return of
+	}
+	t.Run("what it surely has is not written again, and levels that others left are lifted, once", func(t *testing.T) {
+		to, h, p := taken(share.Base{Lines: quoted(ten)}, ten)
+		to.Bind(0, 0, 0)
+		to.Mark(1, false)
+		to.writes(t)
+		if h.hears(t, p); h.cost > 3 || !maps.Equal(h.lines[0], ten) || h.levels[0][0] < 1e9 || h.levels[1][0] < 1e9 ||
+			h.levels[0][1] != float64(decide.TryAfterProof) {
+			t.Errorf("got %+v", h)
+		}
+		to.SetLine(0, 3, 0.5)
+		to.writes(t)
+		if h.hears(t, p); h.cost != 1 || h.levels[0][0] < 1e9 {
+			t.Errorf("a later change wrote %d lines, levels %v", h.cost, h.levels)
+		}
+		to.Admit(decide.AllTables, 0, 7, decide.TryOnce)
+		to.writes(t)
+		if h.hears(t, p); h.levels[0][0] != 7 || h.levels[1][0] != 7 {
+			t.Errorf("levels %v", h.levels)
+		}
+	})
+	t.Run("lines that differ, that it lacks, that it has too many, and those in doubt are written", func(t *testing.T) {
+		brought := maps.Clone(ten)
+		brought["s-1"], brought["s-9"], brought["s-20"] = 0.25, 0.5, 3
+		delete(brought, "s-2")
+		known := quoted(brought)
+		delete(known, `"s-9"`) // in doubt: it may have any, or none
+		to, h, p := taken(share.Base{Lines: known, Doubt: map[string]bool{`"s-9"`: true}}, brought)
+		to.Bind(0, 0, 0)
+		to.writes(t)
+		if h.hears(t, p); !maps.Equal(h.lines[0], ten) || !maps.Equal(h.lines[1], ten) || h.cost != 5 {
+			t.Errorf("wrote %d lines: %+v", h.cost, h.lines)
+		}
+	})
+	t.Run("where as many differ as there are, it gets the whole table", func(t *testing.T) {
+		to, h, p := taken(share.Base{Lines: map[string]float64{}}, map[string]float64{"s-30": 1})
+		to.Bind(0, 0, 0)
+		to.writes(t)
+		if h.hears(t, p); !maps.Equal(h.lines[0], ten) || h.levels[0] != nil || to.wholes != 1 || to.deltas != 0 {
+			t.Errorf("got %+v", h)
+		}
+	})
+	t.Run("with classes that had other tables, what any of them may lack is written", func(t *testing.T) {
+		to, h, p := taken(share.Base{Lines: quoted(ten)}, ten)
+		delete(h.lines[1], "s-4")
+		less := quoted(ten)
+		delete(less, `"s-4"`)
+		to.streams[0].base[1] = share.Base{Lines: less}
+		to.Bind(0, 0, 0)
+		to.writes(t)
+		if h.hears(t, p); !maps.Equal(h.lines[0], ten) || !maps.Equal(h.lines[1], ten) {
+			t.Errorf("has %v", h.lines)
+		}
+	})
+}
--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"log"
 	"strings"
 	"testing"
 
@@ -21,7 +20,7 @@
 		`"egressPerS":900`, fmt.Sprintf(`"egressPerS":%g`, lines), `"backlog":900`,
 		fmt.Sprintf(`"backlog":%g,"socketsMin":83`, 50*lines))
 	c, err := New(Place{}, []byte(fit.Replace(string(configuration("127.0.0.1:9", listing(1, true, entries...))))),
-		log.New(io.Discard, "", 0))
+		Journal(io.Discard))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -8,7 +8,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"log"
+	"log/slog"
 	"maps"
 	"net"
 	"slices"
@@ -58,7 +58,7 @@
 }
 
 // New reads a configuration, a JSON object. An error names the key that is missing or unusable.
-func New(place Place, configuration []byte, to *log.Logger) (*Controller, error) {
+func New(place Place, configuration []byte, to *slog.Logger) (*Controller, error) {
 	p, err := read(configuration)
 	if err != nil {
 		return nil, err
@@ -75,7 +75,7 @@
 	}
 	c := &Controller{limits: p.limits, log: newJournal(to, p.limits.quiet, p.limits.sorts), plan: p}
 	for _, text := range p.complain {
-		c.log.say("event=setting text=%q", text)
+		c.log.say("setting", "text", text)
 	}
 	m := &module{limits: p.limits, log: c.log, zones: index(p.zones), zoneNames: p.zones, classes: p.index,
 		backends: newBackends(), mail: make(chan func(), p.limits.mailbox), done: make(chan struct{}),
@@ -159,10 +159,10 @@
 	defer c.mutex.Unlock()
 	for _, key := range slices.Sorted(maps.Keys(p.lasting)) {
 		if p.lasting[key] != c.plan.lasting[key] {
-			c.log.say("event=reload_later key=%s text=%q", key, "it differs, and counts from the next start on")
+			c.log.say("reload_later", "key", key, "text", "it differs, and counts from the next start on")
 		}
 	}
-	c.log.say("event=reloaded discovery=%s", p.Discovery)
+	c.log.say("reloaded", "discovery", p.Discovery)
 	c.plan = p
 	c.list.follow(p.Discovery, p.known)
 	return nil
@@ -199,22 +199,32 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	c.log.say("event=serving name=%s listen=%s discovery=%s proxies=%d strangers=%d sockets=%d", place.Name,
-		listener.Addr(), place.Discovery, c.limits.nodes, c.limits.strange, c.limits.sockets)
-	c.log.say("event=given lines_per_s=%.0f backlog=%.0f head=%.0f way_s=%.2f messages=%d messages_span_s=%.0f grace_s=%.1f "+
-		"warm_s=%.0f report_s=%.1f reports_per_s=%.0f "+
-		"connections=%d memory_mb=%d", channel.LinesPerS, channel.Backlog, channel.Head,
-		float64(channel.LongestWay)/second, channel.MessagesMost, float64(channel.MessagesSpan)/second,
-		float64(rules.Grace)/second, float64(rules.WarmBy)/second, float64(sight.ReportEvery)/second, sight.LinesPerS,
-		channel.Connections, c.limits.memory>>20)
+	c.log.say("serving", "name", place.Name, "listen", listener.Addr(), "discovery", place.Discovery,
+		"proxies", c.limits.nodes, "strangers", c.limits.strange, "sockets", c.limits.sockets)
+	seconds := func(micros int64, places int) string { return figured(float64(micros)/second, places) }
+	c.log.say("given", "lines_per_s", figured(channel.LinesPerS, 0), "backlog", figured(channel.Backlog, 0),
+		"head", figured(channel.Head, 0), "way_s", seconds(channel.LongestWay, 2), "messages", channel.MessagesMost,
+		"messages_span_s", seconds(channel.MessagesSpan, 0), "grace_s", seconds(rules.Grace, 1),
+		"warm_s", seconds(rules.WarmBy, 0), "report_s", seconds(sight.ReportEvery, 1),
+		"reports_per_s", figured(sight.LinesPerS, 0), "connections", channel.Connections,
+		"memory_mb", c.limits.memory>>20)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// Where the fleet is shared, streams and the record outlast the module, which gives its proxies away first.
+	after, end := context.WithCancel(ctx)
+	if c.module.fleet != nil {
+		after, end = context.WithCancel(context.WithoutCancel(ctx))
+	}
+	defer end()
 	var parts sync.WaitGroup
-	parts.Go(func() { c.module.run(ctx) })
+	parts.Go(func() { c.module.run(ctx); end() })
 	parts.Go(func() { c.list.run(ctx) })
-	err = (&server{limits: c.limits, module: c.module, log: c.log}).run(ctx, listener)
+	if c.module.fleet != nil {
+		parts.Go(func() { c.module.fleet.node.Run(after) })
+	}
+	err = (&server{limits: c.limits, module: c.module, log: c.log}).run(after, listener)
 	cancel()
 	parts.Wait()
-	c.log.say("event=stopped name=%s", place.Name)
+	c.log.say("stopped", "name", place.Name)
 	return err
 }
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -62,7 +62,7 @@
 			t.Error("a hello that was under way for long took the stream's place")
 		}
 		m.turn(func() { p.end(io.EOF); m.left(p) })
-		if text, _ := said.read(); m.current(p) || !strings.Contains(text, `event=left node=0 why="EOF"`) {
+		if text, _ := said.read(); m.current(p) || !strings.Contains(text, `event=left node=0 why=EOF`) {
 			t.Errorf("did not leave: %s", text)
 		}
 	})
@@ -262,7 +262,7 @@
 	} {
 		t.Run(what, func(t *testing.T) {
 			changed := strings.Replace(good, change[0], change[1], 1)
-			_, err := New(Place{}, []byte(changed), log.New(io.Discard, "", 0))
+			_, err := New(Place{}, []byte(changed), Journal(io.Discard))
 			if err == nil || what != "not JSON" && !strings.Contains(err.Error(), what) {
 				t.Errorf("error %v", err)
 			}
@@ -271,7 +271,7 @@
 	t.Run("the place given beats the configuration, and odd words are said", func(t *testing.T) {
 		said := newDiary()
 		odd := strings.Replace(good, `"weights":"rough"`, `"weights":"guessed"`, 1)
-		c, err := New(Place{Listen: "127.0.0.1:7", Discovery: "127.0.0.1:8"}, []byte(odd), log.New(said, "", 0))
+		c, err := New(Place{Listen: "127.0.0.1:7", Discovery: "127.0.0.1:8"}, []byte(odd), Journal(said))
 		if err != nil || c.plan.Listen != "127.0.0.1:7" || c.list.client.Addr != "127.0.0.1:8" || c.Cores() != 1 ||
 			c.Memory() != 192<<20 {
 			t.Errorf("got %+v, error %v", c, err)
@@ -340,7 +340,7 @@
 func runs(t *testing.T, discovery, known string, change func(*limits)) (c *Controller, address string, said *diary) {
 	t.Helper()
 	said = newDiary()
-	c, err := New(Place{}, configuration(discovery, known), log.New(said, "", 0))
+	c, err := New(Place{}, configuration(discovery, known), Journal(said))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -636,7 +636,7 @@
 			t.Fatal(err)
 		}
 		defer taken.Close()
-		c, err := New(Place{Listen: taken.Addr().String()}, configuration("127.0.0.1:9", two), log.New(io.Discard, "", 0))
+		c, err := New(Place{Listen: taken.Addr().String()}, configuration("127.0.0.1:9", two), Journal(io.Discard))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -773,7 +773,7 @@
 		if err := h.apply(p.gets()); err != nil || !slices.Equal(h.picks(0), []string{"s-0", `say "7"`}) {
 			t.Errorf("error %v, got %v", err, h.picks(0))
 		}
-		said.waits(t, `state="resting" taken=draining`, 1)
+		said.waits(t, `state=resting taken=draining`, 1)
 	})
 }
 
@@ -831,7 +831,7 @@
 func (c *told) Close() error                    { return nil }
 
 func fuzzed(t *testing.T) *module {
-	c, err := New(Place{}, configuration("127.0.0.1:9", two), log.New(io.Discard, "", 0))
+	c, err := New(Place{}, configuration("127.0.0.1:9", two), Journal(io.Discard))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/controller/fake_test.go
+++ b/controller/fake_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"slices"
 	"strings"
@@ -223,7 +222,7 @@
 	t.Helper()
 	said := newDiary()
 	c, err := New(Place{}, configuration("127.0.0.1:9", listing(1, true, backendIs(0, "up"), backendIs(1, "up"))),
-		log.New(said, "", 0))
+		Journal(said))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/controller/fleet.go
@@ -0,0 +1,306 @@
+package controller
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"wheelrill/decide"
+	"wheelrill/replica"
+	"wheelrill/share"
+)
+
+// Sharing says with whom a controller shares its fleet. The members agree on all of it but the folder and the files.
+type Sharing struct {
+	Name    string            // ours among the members; the controller's own if empty
+	Members map[string]string // the address of each for the others, by its name
+	Folder  string            // for what must outlast the process; empty: nothing does
+	replica.Credentials
+	Lease int64 // µs without an answer of the record after which a member goes on by itself; 0 is as usual
+}
+
+// Figures of sharing that follow from no setting: a lease must fit into the time in which a drain has to reach all
+// proxies, and an entry or two may be lost within it.
+const (
+	usualLease = 3 * second / 2
+	leaseParts = 8       // an entry is proposed this often in a lease at least
+	toldEvery  = second  // what our proxies met is told to the others
+	uncounted  = 1 << 20 // messages that may go to a proxy where no setting limits them
+)
+
+// Share has the controller share its fleet from Serve on. An error says what would do.
+func (c *Controller) Share(with Sharing) error {
+	if with.Name == "" {
+		with.Name = c.plan.Name
+	}
+	m := c.module
+	terms := share.Terms{Lease: with.Lease, Span: c.plan.channel.MessagesSpan + c.plan.channel.LongestWay,
+		Messages: c.plan.channel.MessagesMost, Members: len(with.Members)}
+	if terms.Lease == 0 {
+		terms.Lease = usualLease
+	}
+	if terms.Renew = terms.Lease / leaseParts; terms.Renew < m.limits.tick.Microseconds() {
+		return fmt.Errorf("lease: %d ms is too short for a tick of %s", terms.Lease/1000, m.limits.tick)
+	}
+	if terms.Messages == 0 {
+		terms.Messages = uncounted
+	}
+	f := &fleet{module: m, pending: map[int]arrival{}, seen: map[int]*share.Seen{}, away: map[int]bool{},
+		terms: terms}
+	var err error
+	if f.node, err = replica.New(replica.Place{Name: with.Name, Members: with.Members, Folder: with.Folder,
+		Credentials: with.Credentials, Terms: terms}, record{m, f}, c.log.to); err != nil {
+		return err
+	}
+	// What the decisions may send is our part of it.
+	channel := c.plan.channel
+	if channel.MessagesMost > 0 {
+		channel.MessagesMost = terms.Stray() + terms.Own()
+	}
+	m.timers = nil // those of the decisions that were made to be alone
+	m.control = decide.New(m, c.plan.seed, c.plan.classes, channel, c.plan.rules, decide.Partition{}, c.plan.sight,
+		c.plan.admit)
+	m.fleet, f.name = f, with.Name
+	f.desk = share.New(f, with.Name, terms, m.now)
+	f.tick(m.now)
+	return nil
+}
+
+// record hands on to the module what becomes of the record.
+type record struct {
+	*module
+	fleet *fleet
+}
+
+func (r record) Recorded(e share.Entry) { r.post(func() { r.fleet.desk.Recorded(e, r.now) }) }
+
+func (r record) Restored(book *share.Book) { r.post(func() { r.fleet.desk.Restored(book, r.now) }) }
+
+func (r record) Answered(life, seq uint64) {
+	r.post(func() { r.fleet.desk.Answered(life, seq, r.now) })
+}
+
+func (r record) Failed(life, seq uint64) {
+	r.post(func() { r.fleet.desk.Failed(life, seq, r.now) })
+}
+
+// fleet is the module's side of sharing: it joins the desk with the decisions, the tables and the streams.
+type fleet struct {
+	module *module
+	name   string
+	desk   *share.Desk
+	node   *replica.Node
+	terms  share.Terms
+
+	pending  map[int]arrival // proxies that joined and are not granted yet
+	held     []leaving       // in their order
+	released uint64
+	seen     map[int]*share.Seen // by backend, what our proxies met since it was last told
+	away     map[int]bool        // withdrawn, as last told
+	toldAt   int64
+}
+
+// arrival is what the decisions are told of a proxy once it is granted.
+type arrival struct {
+	zone  int
+	usual float64
+	keeps bool
+}
+
+// leaving is a message that waits until what it says stands on the record.
+type leaving struct {
+	peer    *peer
+	message []byte
+	edition uint64
+}
+
+// close gives our proxies away at a planned end: nothing is written any more, and the record says so before any of
+// their streams ends, if it can be told soon.
+func (f *fleet) close() {
+	m := f.module
+	m.now = max(m.clock(), m.now+1)
+	f.desk.Close(m.now)
+	late := time.After(m.limits.farewell)
+	for !f.desk.Closed() {
+		select {
+		case what := <-m.mail:
+			m.now = max(m.clock(), m.now+1)
+			what()
+		case <-late:
+			m.log.say("sharing", "closed", false, "why", "the record does not answer")
+			return
+		}
+	}
+	m.log.say("sharing", "closed", true, "owned", f.desk.Owned())
+}
+
+// tag of the desk's timer, which the decisions' is not.
+const deskTag = 1<<64 - 1
+
+func (f *fleet) tick(now int64) {
+	f.desk.Elapsed(now)
+	for node, j := range f.module.joins {
+		if j != nil {
+			f.desk.Spoke(node, j.peer.heard.Load(), now)
+		}
+	}
+	if now-f.toldAt >= toldEvery {
+		f.toldAt = now
+		f.tell()
+	}
+	f.module.After(f.terms.Renew/2, deskTag)
+}
+
+// joins has a proxy wait until it is granted.
+func (f *fleet) joins(node int, a arrival) {
+	f.pending[node] = a
+	f.desk.Joined(node, f.module.now)
+}
+
+// leaves forgets a proxy; it tells whether the decisions had it.
+func (f *fleet) leaves(node int) bool {
+	_, waits := f.pending[node]
+	delete(f.pending, node)
+	f.desk.Left(node)
+	return !waits
+}
+
+// Granted gives a proxy to the decisions.
+func (f *fleet) Granted(node int, token uint64, base []share.Base, clean bool, spent int) {
+	a, ok := f.pending[node]
+	if !ok {
+		return
+	}
+	delete(f.pending, node)
+	s := f.module.at(node)
+	s.waits, s.base = false, base
+	if clean {
+		s.keeps, a.keeps = false, false
+	}
+	if s.fenced {
+		s.token = token
+	}
+	f.module.log.seldom("granted", "granted", "node", node, "token", token, "known", base != nil, "clean", clean,
+		"spent", spent)
+	f.module.control.Spent(node, spent)
+	f.module.control.Joined(node, a.zone, a.usual, a.keeps)
+}
+
+// Spent has the decisions write less to a proxy.
+func (f *fleet) Spent(node, messages int) { f.module.control.Spent(node, messages) }
+
+// Propose puts an entry on the record.
+func (f *fleet) Propose(e share.Entry) { f.node.Propose(e) }
+
+// Release lets what waited leave.
+func (f *fleet) Release(edition uint64) {
+	f.released = max(f.released, edition)
+	n := 0
+	for ; n < len(f.held) && f.held[n].edition <= f.released; n++ {
+		l := f.held[n]
+		if !f.module.current(l.peer) {
+			continue
+		}
+		if err := l.peer.send(l.message); err != nil {
+			f.module.lose(l.peer.node, err)
+		}
+	}
+	f.held = slices.Delete(f.held, 0, n)
+}
+
+// sends has a message leave, or wait behind others for the record.
+func (f *fleet) sends(p *peer, message []byte) error {
+	if edition := f.desk.Edition(); len(f.held) > 0 || edition > f.released {
+		f.held = append(f.held, leaving{p, message, edition})
+		return nil
+	}
+	return p.send(message)
+}
+
+// lays puts on the record what this turn has changed in our tables, before any of it is written.
+func (f *fleet) lays() {
+	var changes []share.Laid
+	for _, number := range slices.Sorted(maps.Keys(f.module.laid)) {
+		in := f.module.laid[number]
+		if len(in.changed) == 0 {
+			continue
+		}
+		laid := share.Laid{Table: number}
+		for _, b := range in.changed {
+			laid.Lines = append(laid.Lines, share.Line{Backend: string(f.module.name(b)), Weight: in.weights[b]})
+		}
+		changes = append(changes, laid)
+	}
+	if len(f.module.withdrew) > 0 {
+		laid := share.Laid{Table: share.Shut}
+		for _, b := range f.module.withdrew {
+			shut := 0.
+			if f.module.out[b] {
+				shut = 1
+			}
+			laid.Lines = append(laid.Lines, share.Line{Backend: string(f.module.name(b)), Weight: shut})
+		}
+		changes = append(changes, laid)
+	}
+	if len(changes) > 0 {
+		f.desk.Laid(changes, f.module.now)
+	}
+}
+
+// met notes what our proxies met, for the others.
+func (f *fleet) met(backend, tries, failed int, mean, span int64) {
+	s := f.seen[backend]
+	if s == nil {
+		s = &share.Seen{}
+		f.seen[backend] = s
+	}
+	if answered := int64(s.Tries - s.Failed + tries - failed); answered > 0 {
+		s.Mean = (s.Mean*int64(s.Tries-s.Failed) + mean*int64(tries-failed)) / answered
+	}
+	s.Tries, s.Failed, s.Span = s.Tries+tries, s.Failed+failed, max(s.Span, span)
+}
+
+// tell puts on the record what our proxies met, and which backends are withdrawn here.
+func (f *fleet) tell() {
+	var seen []share.Seen
+	for backend, id := range f.module.backends.ids {
+		if id == "" {
+			delete(f.away, backend)
+			continue
+		}
+		s := f.seen[backend]
+		tries, failed, away := f.module.control.Withdrawn(backend)
+		if s == nil && away == f.away[backend] {
+			continue
+		}
+		if s == nil {
+			s = &share.Seen{}
+		}
+		if away {
+			s.Tries, s.Failed, s.Mean = max(tries, 1), max(failed, 1), 0
+		}
+		s.Backend, s.Away, f.away[backend] = id, away, away
+		seen = append(seen, *s)
+	}
+	f.seen = map[int]*share.Seen{}
+	if len(seen) > 0 {
+		f.desk.Met(seen)
+	}
+}
+
+// Learned hands on what another member's proxies met.
+func (f *fleet) Learned(_ string, s share.Seen) {
+	if backend, ok := f.module.backends.index[s.Backend]; ok {
+		f.module.control.Learned(backend, s.Tries, s.Failed, s.Mean)
+	}
+}
+
+// Mode logs that we go off the record, or are on it again.
+func (f *fleet) Mode(alone bool, why string) {
+	f.module.log.say("sharing", "alone", alone, "why", why, "owned", f.desk.Owned(),
+		"deltas", f.module.deltas, "wholes", f.module.wholes)
+}
+
+// Chance draws a number.
+func (f *fleet) Chance() uint64 { return draw() }
--- /dev/null
+++ b/controller/fleet_test.go
@@ -0,0 +1,176 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// sharer is one of several controllers that share their fleet.
+type sharer struct {
+	address string
+	said    *diary
+	stop    func()
+	module  *module
+}
+
+// confirmed waits until a member has it on the record that a proxy confirmed a table.
+func (s *sharer) confirmed(t *testing.T, node int) {
+	t.Helper()
+	late := time.After(patience)
+	for {
+		stands := make(chan bool, 1)
+		s.module.post(func() { stands <- s.module.fleet.desk.Book().Proxies[node].Edition > 0 })
+		select {
+		case is := <-stands:
+			if is {
+				return
+			}
+		case <-late:
+			t.Fatal("nothing that it confirmed is on the record")
+		}
+	}
+}
+
+// shares runs as many as names are given; those that are not to run are members all the same.
+func shares(t *testing.T, known string, members int, names ...string) []*sharer {
+	t.Helper()
+	all := map[string]string{}
+	for i := range members {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		all[fmt.Sprint("n", i)] = l.Addr().String()
+		l.Close()
+	}
+	var running []*sharer
+	for _, name := range names {
+		said := newDiary()
+		c, err := New(Place{Name: name}, configuration("127.0.0.1:9", known), Journal(said))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Share(Sharing{Members: all}); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- c.Serve(ctx) }()
+		said.waits(t, "event=serving", 1)
+		text, _ := said.read()
+		s := &sharer{regexp.MustCompile(`event=serving .* listen=(\S+)`).FindStringSubmatch(text)[1], said, func() {
+			cancel()
+			if err := <-ended; err != nil {
+				t.Errorf("%s ended with %v", name, err)
+			}
+			ended <- nil
+		}, c.module}
+		t.Cleanup(s.stop)
+		t.Cleanup(func() {
+			if text, _ := said.read(); t.Failed() {
+				t.Logf("%s said:\n%s", name, text)
+			}
+		})
+		running = append(running, s)
+	}
+	return running
+}
+
+// joinsAt has a proxy dial a controller, and apply what it is told until a message has a mark; it answers that.
+func joinsAt(t *testing.T, address string, h *hearer, cold bool) *caller {
+	t.Helper()
+	p := calls(t, address)
+	p.says(fmt.Sprintf(`{"msg":"hello","node":3,"locality":"b","w":12.5,"cold":%v}`, cold))
+	for marks := len(h.tickets); len(h.tickets) == marks || h.inside; {
+		if err := h.apply(p.gets()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.says(fmt.Sprintf(`{"msg":"ack","node":3,"nonce":%d,"latency":1}`, h.tickets[len(h.tickets)-1]))
+	return p
+}
+
+func TestSharing(t *testing.T) {
+	var entries []string
+	for id := range 12 {
+		entries = append(entries, backendIs(id, "up"))
+	}
+	known := listing(1, true, entries...)
+	t.Run("a proxy that goes over is told what differs, and not the whole table again", func(t *testing.T) {
+		all := shares(t, known, 3, "n0", "n1", "n2")
+		for _, s := range all { // each has entered, and its tables stand
+			s.said.waits(t, "event=sharing alone=false", 1)
+		}
+		h := newHearer("read it", "write")
+		p := joinsAt(t, all[0].address, h, true)
+		if len(h.picks(0)) != 12 {
+			t.Fatalf("has %v", h.picks(0))
+		}
+		told := 0
+		for at := 1; told == 0 && at < 4; at++ { // at first not all are vouched for yet
+			all[at%3].confirmed(t, 3)
+			p.Close()
+			p = joinsAt(t, all[at%3].address, h, false)
+			text, _ := all[at%3].said.read()
+			if told = strings.Count(text, "known=true"); told > 0 && h.cost > 6 {
+				t.Errorf("%d lines for a proxy that had all of them", h.cost)
+			}
+			if picks := h.picks(0); len(picks) != 12 || !slices.Equal(picks, h.picks(1)) {
+				t.Fatalf("it can pick %v and %v", picks, h.picks(1))
+			}
+		}
+		if told == 0 {
+			t.Error("what it had was never known")
+		}
+	})
+	t.Run("at a planned end the record says so before the streams end", func(t *testing.T) {
+		all := shares(t, known, 3, "n0", "n1", "n2")
+		all[1].said.waits(t, "event=sharing alone=false", 1)
+		p := joinsAt(t, all[1].address, newHearer("read it", "write"), true)
+		all[1].stop()
+		if text, _ := all[1].said.read(); !strings.Contains(text, "event=sharing closed=true") || !p.ends() {
+			t.Errorf("said %s", text)
+		}
+	})
+	t.Run("one that has no majority serves by itself after a lease", func(t *testing.T) {
+		alone := shares(t, known, 3, "n0")[0]
+		h := newHearer("read it", "write")
+		began := time.Now()
+		joinsAt(t, alone.address, h, true)
+		if text, _ := alone.said.read(); len(h.picks(0)) != 12 || !strings.Contains(text, "event=sharing alone=true") {
+			t.Errorf("it can pick %v; said %s", h.picks(0), text)
+		}
+		if waited := time.Since(began); waited > 3*time.Second { // the grace of these settings
+			t.Errorf("it waited for %s", waited)
+		}
+	})
+	t.Run("with tokens asked for, each order has its owner's", func(t *testing.T) {
+		all := shares(t, known, 2, "n0", "n1")
+		all[0].said.waits(t, "event=sharing alone=false", 1)
+		p := calls(t, all[0].address)
+		p.says(`{"msg":"hello","node":3,"locality":"b","w":12.5,"cold":true,"fence":true}`)
+		if raw := string(p.gets()); !strings.Contains(raw, `{"msg":"push","token":`) {
+			t.Errorf("got %q", raw)
+		}
+	})
+	t.Run("sharing that cannot be is refused with what would do", func(t *testing.T) {
+		c, err := New(Place{Name: "n9"}, configuration("127.0.0.1:9", known), Journal(newDiary()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Share(Sharing{Members: map[string]string{"n0": "127.0.0.1:0"}}); err == nil ||
+			!strings.Contains(err.Error(), `"n9" is not among them`) {
+			t.Errorf("got %v", err)
+		}
+		if err := c.Share(Sharing{Members: map[string]string{"n9": "127.0.0.1:0"}, Lease: 1000}); err == nil ||
+			!strings.Contains(err.Error(), "lease") {
+			t.Errorf("got %v", err)
+		}
+	})
+}
--- a/controller/journal.go
+++ b/controller/journal.go
@@ -1,14 +1,32 @@
 package controller
 
 import (
-	"log"
+	"io"
+	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 )
 
-// journal writes lines of key=value text. Lines that strangers could call forth go through seldom.
+// Journal makes a log as staff read it: lines of key=value text, the time in UTC first, then the event.
+func Journal(to io.Writer) *slog.Logger {
+	return slog.New(slog.NewTextHandler(to, &slog.HandlerOptions{ReplaceAttr: func(groups []string, a slog.Attr) slog.Attr {
+		switch {
+		case len(groups) > 0:
+		case a.Key == slog.TimeKey:
+			return slog.String(a.Key, a.Value.Time().UTC().Format("15:04:05.000000"))
+		case a.Key == slog.LevelKey && a.Value.Any() == slog.LevelInfo:
+			return slog.Attr{}
+		case a.Key == slog.MessageKey:
+			a.Key = "event"
+		}
+		return a
+	}}))
+}
+
+// journal writes events. Lines that strangers could call forth go through seldom.
 type journal struct {
-	to    *log.Logger
+	to    *slog.Logger
 	quiet time.Duration
 	sorts int
 
@@ -21,14 +39,15 @@
 	times int
 }
 
-func newJournal(to *log.Logger, quiet time.Duration, sorts int) *journal {
+func newJournal(to *slog.Logger, quiet time.Duration, sorts int) *journal {
 	return &journal{to: to, quiet: quiet, sorts: sorts, held: map[string]*repeat{}}
 }
 
-func (j *journal) say(format string, args ...any) { j.to.Printf(format, args...) }
+// say writes an event with its keys and values.
+func (j *journal) say(event string, pairs ...any) { j.to.Info(event, pairs...) }
 
-// seldom writes a line of a sort unless one was written lately; it says then how many were held back.
-func (j *journal) seldom(sort, format string, args ...any) {
+// seldom writes an event of a sort unless one was written lately; it says then how many were held back.
+func (j *journal) seldom(sort, event string, pairs ...any) {
 	j.mutex.Lock()
 	if j.held[sort] == nil && len(j.held) >= j.sorts {
 		sort = ""
@@ -45,5 +64,8 @@
 	held := r.times - 1
 	*r = repeat{since: time.Now()}
 	j.mutex.Unlock()
-	j.to.Printf(format+" held_back=%d", append(args, held)...)
+	j.to.Info(event, append(pairs, "held_back", held)...)
 }
+
+// figured is a figure with so many places as a line needs.
+func figured(x float64, places int) string { return strconv.FormatFloat(x, 'f', places, 64) }
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -50,6 +50,7 @@
 	retryLeast time.Duration // pause after a failed call, doubling ...
 	retryMost  time.Duration // ... up to this
 	vain       int           // answers of no use, or older than what we know, before we ask for all and take that
+	farewell   time.Duration // that others are told of a planned end
 	silence    int64         // µs without a word, a mark unanswered as long, show a half-open stream
 	lag        int64         // the same where other proxies have answered the mark
 	still      int64         // µs without a turn show that we stood still: the decisions want one several times a second
@@ -67,7 +68,7 @@
 		write: 10 * time.Second,
 		dial:  500 * time.Millisecond, watch: 2 * time.Second, watchOver: time.Second,
 		retryLeast: 50 * time.Millisecond, retryMost: time.Second, vain: 5,
-		quiet: 10 * time.Second, sorts: 1024, still: second, proxyRate: 1000, busy: 100, queue: 1e6,
+		farewell: 400 * time.Millisecond, quiet: 10 * time.Second, sorts: 1024, still: second, proxyRate: 1000, busy: 100, queue: 1e6,
 	}
 }
 
--- a/controller/list.go
+++ b/controller/list.go
@@ -65,7 +65,7 @@
 		return
 	}
 	if err := l.answer(known); err != nil {
-		l.log.say("event=known_unusable error=%q", err)
+		l.log.say("known_unusable", "error", err)
 	}
 }
 
@@ -139,7 +139,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		l.log.seldom("discovery", "event=discovery_failed error=%q version=%d", err, l.version)
+		l.log.seldom("discovery", "discovery_failed", "error", err, "version", l.version)
 		select {
 		case <-ctx.Done():
 		case <-l.asked:
--- a/controller/module.go
+++ b/controller/module.go
@@ -20,7 +20,8 @@
 	log     *journal
 	control *decide.Controller
 
-	list *list
+	list  *list
+	fleet *fleet // what is shared with other controllers; nil for nothing
 
 	zones, classes map[string]int
 	zoneNames      []string
@@ -40,12 +41,15 @@
 type join struct {
 	peer    *peer
 	waiting []*mark
+	bound   *mark // the first that went out with tables of ours for every class, until it is answered
+	whole   bool  // and then
 }
 
 // mark is one that went out at some clock time, to however many proxies.
 type mark struct {
 	number        int
-	due, answered int64 // due: when the last of them can have left; answered: when the first of them did
+	edition       uint64 // of our tables then, where they are shared
+	due, answered int64  // due: when the last of them can have left; answered: when the first of them did
 }
 
 type timer struct {
@@ -73,12 +77,15 @@
 	select {
 	case m.mail <- what:
 	default:
-		m.log.seldom("reports", "event=report_dropped mailbox=%d", m.limits.mailbox)
+		m.log.seldom("reports", "report_dropped", "mailbox", m.limits.mailbox)
 	}
 }
 
 func (m *module) run(ctx context.Context) {
 	defer close(m.done)
+	if m.fleet != nil {
+		defer m.fleet.close()
+	}
 	m.now = m.clock()
 	wake := time.NewTimer(0)
 	defer wake.Stop()
@@ -111,7 +118,7 @@
 func (m *module) turn(first func()) {
 	last := m.now
 	if m.now = max(m.clock(), last+1); m.now-last > m.limits.still {
-		m.log.seldom("stood", "event=stood_still seconds=%.1f", float64(m.now-last)/second)
+		m.log.seldom("stood", "stood_still", "seconds", figured(float64(m.now-last)/second, 1))
 		m.stood = m.now
 	}
 	first()
@@ -127,16 +134,28 @@
 	for len(m.timers) > 0 && m.timers[0].at <= m.now {
 		due := m.timers[0]
 		m.timers = m.timers[1:]
+		if due.tag == deskTag {
+			m.fleet.tick(m.now)
+			continue
+		}
 		m.control.Elapsed(due.tag)
 	}
 	m.findSilent()
 	defer m.forget()
+	sends, edition := (*peer).send, uint64(0)
+	if m.fleet != nil {
+		m.fleet.lays()
+		sends, edition = m.fleet.sends, m.fleet.desk.Edition()
+	}
 	var one *mark
-	m.flush(m.lose, func(proxy, number int) {
+	m.flush(sends, m.lose, func(proxy, number int) {
 		if one == nil {
-			one = &mark{number: number, due: m.now + m.control.Delay()}
+			one = &mark{number: number, edition: edition, due: m.now + m.control.Delay()}
 		}
 		j := m.joins[proxy]
+		if m.fleet != nil && j.bound == nil && !j.whole && !slices.Contains(m.at(proxy).bound, unbound) {
+			j.bound = one
+		}
 		if j.waiting = append(j.waiting, one); len(j.waiting) > m.limits.marks {
 			j.waiting = j.waiting[1:] // it talks, but answers nothing
 		}
@@ -149,7 +168,7 @@
 		return m.tables.forget(backend, func() bool { return m.control.Forget(backend) })
 	})
 	if many > 0 {
-		m.log.say("event=forgotten backends=%d kept=%d", many, len(m.backends.index))
+		m.log.say("forgotten", "backends", many, "kept", len(m.backends.index))
 	}
 }
 
@@ -171,10 +190,10 @@
 // Log writes a change of mode, with the id of the backend that it is about as staff know it.
 func (m *module) Log(backend int, line string) {
 	if backend < 0 {
-		m.log.say("event=decision text=%q", line)
+		m.log.say("decision", "text", line)
 		return
 	}
-	m.log.say("event=decision backend=%s text=%q", m.backends.names[backend], line)
+	m.log.say("decision", "backend", m.backends.ids[backend], "text", line)
 }
 
 // Watch has the list ask now, if it waits after a failed call. It is followed all the time, as asking costs
@@ -208,14 +227,14 @@
 			m.backends.gone[backend] = m.now
 		}
 	}
-	m.log.say("event=list version=%d whole=%v entries=%d", version, whole, len(entries))
+	m.log.say("list", "version", version, "whole", whole, "entries", len(entries))
 	m.control.Listed(whole, entries)
 	if len(entries) > 0 {
 		select {
 		case <-m.ready:
 		default:
 			close(m.ready)
-			m.log.say("event=ready backends=%d", len(entries))
+			m.log.say("ready", "backends", len(entries))
 		}
 	}
 }
@@ -224,7 +243,7 @@
 	id := server.GetStringBytes("id")
 	zone, there := m.zones[string(server.GetStringBytes("zone"))]
 	if len(id) == 0 || len(id) > m.limits.id || !there {
-		m.log.seldom("entry", "event=entry_skipped id=%q why=%q", id[:min(len(id), m.limits.id)], "no usable id or zone")
+		m.log.seldom("entry", "entry_skipped", "id", string(id[:min(len(id), m.limits.id)]), "why", "no usable id or zone")
 		return e, false
 	}
 	condition := decide.Draining // the careful reading of a word that we do not know
@@ -235,11 +254,11 @@
 	case "removed":
 		condition = decide.Gone
 	default:
-		m.log.seldom("state", "event=entry_state id=%s state=%q taken=draining", id, state)
+		m.log.seldom("state", "entry_state", "id", string(id), "state", state, "taken", "draining")
 	}
 	backend, ok := m.backends.take(string(id), server.Get("id").MarshalTo(nil), m.limits.backends)
 	if !ok {
-		m.log.seldom("backends", "event=entry_skipped id=%s why=%q", id, "too many backends")
+		m.log.seldom("backends", "entry_skipped", "id", string(id), "why", "too many backends")
 		return e, false
 	}
 	weight, _ := figureAt(server, "weight")
@@ -260,10 +279,15 @@
 		m.leaves(p.node)
 		old.peer.end(errReplaced)
 	}
-	m.log.seldom(fmt.Sprint("joined ", p.node), "event=joined node=%d zone=%s usual=%.1f keeps=%v peer=%s", p.node, m.zoneName(p.zone), usual, keeps,
-		p.conn.RemoteAddr())
+	m.log.seldom(fmt.Sprint("joined ", p.node), "joined", "node", p.node, "zone", m.zoneName(p.zone),
+		"usual", figured(usual, 1), "keeps", keeps, "peer", p.conn.RemoteAddr())
 	m.joins[p.node] = &join{peer: p}
-	m.join(p.node, p, keeps)
+	s := m.join(p.node, p, keeps)
+	if m.fleet != nil {
+		s.waits, s.fenced = true, p.fenced
+		m.fleet.joins(p.node, arrival{p.zone, usual, keeps})
+		return
+	}
 	m.control.Joined(p.node, p.zone, usual, keeps)
 }
 
@@ -274,7 +298,7 @@
 // left takes the end of a stream, unless another has replaced it.
 func (m *module) left(p *peer) {
 	if m.current(p) {
-		m.log.seldom(fmt.Sprint("left ", p.node), "event=left node=%d why=%q", p.node, p.why)
+		m.log.seldom(fmt.Sprint("left ", p.node), "left", "node", p.node, "why", p.why)
 		m.leaves(p.node)
 	}
 }
@@ -282,7 +306,7 @@
 // lose ends the stream of a proxy that cannot be reached.
 func (m *module) lose(node int, err error) {
 	if p := m.joins[node].peer; err != errEnded {
-		m.log.say("event=lost node=%d why=%q", node, err)
+		m.log.say("lost", "node", node, "why", err)
 		p.end(err)
 	}
 	m.leaves(node)
@@ -291,7 +315,9 @@
 func (m *module) leaves(node int) {
 	m.joins[node] = nil
 	m.leave(node)
-	m.control.Left(node)
+	if m.fleet == nil || m.fleet.leaves(node) {
+		m.control.Left(node)
+	}
 }
 
 // findSilent ends streams that are half-open. They say nothing and cannot be told from quiet ones but by marks that
@@ -320,12 +346,19 @@
 	j := m.joins[p.node]
 	at := slices.IndexFunc(j.waiting, func(w *mark) bool { return w.number == number })
 	if at < 0 {
-		m.log.seldom("mark", "event=mark_unknown node=%d mark=%d", p.node, number)
+		m.log.seldom("mark", "mark_unknown", "node", p.node, "mark", number)
 		return
 	}
 	if j.waiting[at].answered == 0 {
 		j.waiting[at].answered = m.now
 	}
+	if m.fleet != nil {
+		j.whole = j.whole || slices.Contains(j.waiting[:at+1], j.bound)
+		if j.whole {
+			s := m.at(p.node)
+			m.fleet.desk.Confirmed(p.node, j.waiting[at].edition, s.bound, s.cleared || !s.keeps)
+		}
+	}
 	j.waiting = slices.Delete(j.waiting, 0, at+1)
 	m.control.Applied(p.node, number)
 }
@@ -333,14 +366,17 @@
 func (m *module) met(id string, tries, failed int, mean, span int64, load decide.Load) {
 	backend, ok := m.backends.index[id]
 	if !ok {
-		m.log.seldom("unlisted", "event=report_unlisted id=%q", id[:min(len(id), m.limits.id)])
+		m.log.seldom("unlisted", "report_unlisted", "id", id[:min(len(id), m.limits.id)])
 		return
 	}
 	m.control.Heard(backend, tries, failed, mean, span, load)
+	if m.fleet != nil {
+		m.fleet.met(backend, tries, failed, mean, span)
+	}
 }
 
 func (m *module) came(node, class, count int, span int64) {
-	if node < len(m.joins) && m.joins[node] != nil {
+	if node < len(m.joins) && m.joins[node] != nil && !m.at(node).waits {
 		m.control.Came(node, class, count, span)
 	}
 }
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -13,6 +13,7 @@
 	classes [][]byte // names of the classes, as JSON
 	limit   int      // bytes of a part
 	most    int      // parts
+	token   uint64   // of whoever owns the proxy, for one that asked for it; 0 for none
 
 	raw      []byte
 	from     int // where the open part begins
@@ -40,6 +41,9 @@
 	o.mask, o.levelled, o.from = mask, false, len(o.raw)
 	o.raw = append(o.raw, 0, 0, 0, 0)
 	o.raw = append(o.raw, `{"msg":"push"`...)
+	if o.token > 0 {
+		o.raw = strconv.AppendUint(append(o.raw, `,"token":`...), o.token, 10)
+	}
 	if mask == 0 || mask == 1<<len(o.classes)-1 {
 		return // all
 	}
--- a/controller/peer.go
+++ b/controller/peer.go
@@ -70,6 +70,7 @@
 
 	body   *bytes.Buffer // the message being read
 	kind   kind          // set by the reader before known
+	fenced bool          // it asked for tokens with its orders
 	zone   int
 	node   int
 	came   time.Time // when it was accepted
@@ -237,8 +238,8 @@
 func (p *peer) skip(why string) {
 	const shown = 160
 	text := p.body.Bytes()
-	p.log.seldom("skipped "+why, "event=skipped peer=%s kind=%s why=%q message=%q",
-		p.conn.RemoteAddr(), p.kind, why, text[:min(len(text), shown)])
+	p.log.seldom("skipped "+why, "skipped", "peer", p.conn.RemoteAddr(), "kind", p.kind, "why", why,
+		"message", string(text[:min(len(text), shown)]))
 }
 
 // figureAt reads a figure; one that is missing, not a number, without end or below 0 is not usable.
@@ -320,6 +321,7 @@
 		usual = 0 // not known: it is served all the same
 	}
 	keeps := !m.GetBool("cold") // if nothing is said it may hold something
+	p.fenced = m.GetBool("fence")
 	if err := p.joins(proxy, node, zone); err != nil {
 		return err
 	}
--- a/controller/server.go
+++ b/controller/server.go
@@ -45,7 +45,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept: %w", err)
 		case err != nil: // the caller has gone again, or no descriptor is left
-			s.log.seldom("accept", "event=accept_failed error=%q", err)
+			s.log.seldom("accept", "accept_failed", "error", err)
 			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 				s.hurry(1)
 			}
@@ -132,11 +132,11 @@
 	defer s.mutex.Unlock()
 	s.strangers, s.known = without(s.strangers, p), without(s.known, p)
 	if p.kind == stranger {
-		s.log.seldom("stranger "+sort(p.why), "event=stranger_ended peer=%s why=%q", p.conn.RemoteAddr(), p.why)
+		s.log.seldom("stranger "+sort(p.why), "stranger_ended", "peer", p.conn.RemoteAddr(), "why", p.why)
 		return
 	}
-	s.log.seldom(p.kind.String()+" ended", "event=ended peer=%s kind=%s node=%d zone=%s why=%q",
-		p.conn.RemoteAddr(), p.kind, p.node, s.module.zoneName(p.zone), p.why)
+	s.log.seldom(p.kind.String()+" ended", "ended", "peer", p.conn.RemoteAddr(), "kind", p.kind,
+		"node", p.node, "zone", s.module.zoneName(p.zone), "why", p.why)
 }
 
 func without(peers []*peer, p *peer) []*peer {
--- a/controller/tables.go
+++ b/controller/tables.go
@@ -1,9 +1,12 @@
 package controller
 
 import (
+	"maps"
+	"math"
 	"slices"
 
 	"wheelrill/decide"
+	"wheelrill/share"
 )
 
 // tables knows the tables, levels and withdrawals that the decisions have ordered, and what was last written on each
@@ -14,13 +17,16 @@
 	frame   int
 	parts   int
 
-	laid    map[int]*table
-	all     []level // for every table of every joined proxy, by class
-	out     []bool  // withdrawn, by backend
-	streams []*stream
+	laid map[int]*table
+	all  []level // for every table of every joined proxy, by class
+	out  []bool  // withdrawn, by backend
+	// withdrew are those that were withdrawn or let back at this time.
+	withdrew []int
+	streams  []*stream
 
 	mark           int
 	marked, toEach bool
+	deltas, wholes int // tables that went out as what differs, and as a whole
 }
 
 // table is one of those that proxies can be bound to.
@@ -57,7 +63,11 @@
 	instead level   // stands where no level was ordered and no table is ours, once it was told
 	held    []holding
 	keeps   bool // it may have come with backends shut out by others
-	cleared bool // those that its tables use are let back
+	waits   bool // it is not ours yet: nothing may be written to it
+	fenced  bool // it asked for tokens, and refuses what comes with an older one than it has seen
+	token   uint64
+	base    []share.Base // what it surely has by class, until a table of ours is written
+	cleared bool         // those that its tables use are let back
 }
 
 const unbound = -1
@@ -67,12 +77,13 @@
 		all: make([]level, len(classes))}
 }
 
-func (t *tables) join(proxy int, p *peer, keeps bool) {
+func (t *tables) join(proxy int, p *peer, keeps bool) *stream {
 	for len(t.streams) <= proxy {
 		t.streams = append(t.streams, nil)
 	}
 	t.streams[proxy] = &stream{peer: p, keeps: keeps, levels: make([]level, len(t.classes)),
 		bound: slices.Repeat([]int{unbound}, len(t.classes))}
+	return t.streams[proxy]
 }
 
 func (t *tables) leave(proxy int) { t.streams[proxy] = nil }
@@ -133,7 +144,7 @@
 	for len(t.out) <= backend {
 		t.out = append(t.out, false)
 	}
-	t.out[backend] = out
+	t.out[backend], t.withdrew = out, append(t.withdrew, backend)
 	t.touch(func(s *stream) bool {
 		// Tables that are not ours may have it.
 		concerned := slices.Contains(s.bound, unbound) || t.uses(s, backend)
@@ -237,15 +248,15 @@
 
 // flush writes what was ordered since the last one and hands each message over, in the order of the proxies. A proxy
 // whose message could not be handed over is given to lost.
-func (t *tables) flush(lost func(proxy int, err error), marked func(proxy, mark int)) {
+func (t *tables) flush(sends func(*peer, []byte) error, lost func(proxy int, err error), marked func(proxy, mark int)) {
 	for proxy, s := range t.streams {
-		if s == nil || !s.touched && !(t.marked && t.toEach) {
+		if s == nil || s.waits || !s.touched && !(t.marked && t.toEach) {
 			continue
 		}
 		s.touched = false
 		message, err := t.message(s)
 		if err == nil {
-			err = s.peer.send(message)
+			err = sends(s.peer, message)
 		}
 		if err != nil {
 			lost(proxy, err)
@@ -258,12 +269,12 @@
 	for _, in := range t.laid {
 		in.changed = in.changed[:0]
 	}
-	t.marked, t.toEach = false, false
+	t.marked, t.toEach, t.withdrew = false, false, t.withdrew[:0]
 }
 
 // message encodes what one proxy must be told, and notes it as written.
 func (t *tables) message(s *stream) ([]byte, error) {
-	o := &order{classes: t.classes, limit: t.frame, most: t.parts}
+	o := &order{classes: t.classes, limit: t.frame, most: t.parts, token: s.token}
 	rest := uint16(1<<len(t.classes) - 1)
 	for class, number := range s.bound {
 		if rest&(1<<class) == 0 || number == unbound {
@@ -279,7 +290,13 @@
 		rest &^= due | stand
 		in := t.laid[number]
 		if due != 0 {
-			o.whole(due, t.lines(in, nil))
+			if differ, ok := t.differing(s, in, due); ok {
+				o.change(due, differ)
+				t.deltas++
+			} else {
+				o.whole(due, t.lines(in, nil))
+				t.wholes++
+			}
 		}
 		if stand != 0 && len(in.changed) > 0 {
 			o.change(stand, t.lines(in, in.changed))
@@ -287,6 +304,9 @@
 	}
 	t.writeLevels(s, o)
 	t.writeHeld(s, o)
+	if s.due != 0 {
+		s.base = nil
+	}
 	s.due = 0
 	if t.marked {
 		o.ticket(t.mark)
@@ -310,14 +330,65 @@
 	return lines
 }
 
+// differing encodes the lines of a table that a proxy lacks, or may lack, by what it surely has. It is no way to write
+// less where that takes as many lines as the whole table, with the levels that only a whole table has it forget.
+func (t *tables) differing(s *stream, in *table, due uint16) (lines [][]byte, ok bool) {
+	if s.base == nil {
+		return nil, false
+	}
+	want := map[string]float64{}
+	for b, weight := range in.weights {
+		if weight > 0 {
+			want[string(t.name(b))] = weight
+		}
+	}
+	differ := map[string]bool{}
+	for class, has := range s.base {
+		if due&(1<<class) == 0 {
+			continue
+		}
+		for id := range has.Doubt {
+			differ[id] = true
+		}
+		for id, weight := range want {
+			differ[id] = differ[id] || has.Lines[id] != weight
+		}
+		for id := range has.Lines {
+			differ[id] = differ[id] || want[id] == 0
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(differ)) {
+		if differ[id] {
+			lines = append(lines, line([]byte(id), want[id]))
+		}
+	}
+	if len(lines)+len(t.classes) > len(want)+1 {
+		return nil, false
+	}
+	for class := range s.levels { // it may have any: each is written anew, as where a table of ours is whole it has none
+		if due&(1<<class) != 0 {
+			s.levels[class] = level{set: true, allowance: -1}
+		}
+	}
+	return lines, true
+}
+
+// free is the level of a class for which none was ordered, where it has to be said: no proxy reaches it, and tries are
+// as proxies make them without any order.
+var free = level{true, math.MaxFloat32, decide.TryAfterProof}
+
 // writeLevels writes what differs from the levels that the proxy was last told; a whole table forgets them.
 func (t *tables) writeLevels(s *stream, o *order) {
 	var open uint16
 	for class := range t.classes {
-		if s.due&(1<<class) != 0 {
+		now, kept := t.level(s, class), s.levels[class].allowance < 0
+		if s.due&(1<<class) != 0 && !kept {
 			s.levels[class] = level{}
 		}
-		if now := t.level(s, class); now != s.levels[class] {
+		if !now.set && (kept || s.levels[class] == free) {
+			now = free
+		}
+		if now != s.levels[class] {
 			s.levels[class] = now
 			open |= 1 << class
 		}
--- a/controller/tables_test.go
+++ b/controller/tables_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"log"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -38,7 +37,7 @@
 
 func (t *tables) writes(test *testing.T) {
 	test.Helper()
-	t.flush(func(proxy int, err error) { test.Errorf("proxy %d lost: %v", proxy, err) }, func(int, int) {})
+	t.flush((*peer).send, func(proxy int, err error) { test.Errorf("proxy %d lost: %v", proxy, err) }, func(int, int) {})
 }
 
 func TestOrders(t *testing.T) {
@@ -204,7 +203,7 @@
 		to.frame = 60
 		to.Bind(0, 0, 0)
 		lost := 0
-		to.flush(func(int, error) { lost++ }, func(int, int) {})
+		to.flush((*peer).send, func(int, error) { lost++ }, func(int, int) {})
 		if lost != 1 || len(p.mail) != 0 {
 			t.Errorf("lost %d, %d messages wait", lost, len(p.mail))
 		}
@@ -229,7 +228,7 @@
 		full.mail = make(chan []byte)
 		to.Mark(1, true)
 		lost := []string{}
-		to.flush(func(proxy int, err error) { lost = append(lost, fmt.Sprint(proxy, " ", err)) }, func(int, int) {})
+		to.flush((*peer).send, func(proxy int, err error) { lost = append(lost, fmt.Sprint(proxy, " ", err)) }, func(int, int) {})
 		if one.hears(t, p); strings.Join(lost, ",") != fmt.Sprint("0 ", errFull) || one.told != 1 {
 			t.Errorf("lost %v, told %d", lost, one.told)
 		}
@@ -379,7 +378,7 @@
 				entries = append(entries, backendIs(id, "up"))
 			}
 			c, err := New(Place{}, []byte(wide.Replace(string(configuration("127.0.0.1:9", listing(1, true, entries...))))),
-				log.New(io.Discard, "", 0))
+				Journal(io.Discard))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -192,7 +192,7 @@
 	}
 }
 
-func (b *backend) forget(now int64) { b.samples, b.unheard, b.answered = nil, 0, now }
+func (b *backend) forget(now int64) { b.samples, b.others, b.unheard, b.answered = nil, nil, 0, now }
 
 // Forget ends what is kept of a backend that is gone: its index may mean another. Not while it has a line.
 func (c *Controller) Forget(id int) bool {
@@ -238,6 +238,23 @@
 	}
 }
 
+// Learned is what proxies of another controller met of late: judged like what ours meet while they meet nothing.
+func (c *Controller) Learned(id, tries, failed int, mean int64) {
+	if id >= len(c.backends) || tries <= 0 {
+		return
+	}
+	now, b := c.host.Now(), c.backends[id]
+	b.others = append(b.others, sample{now, now, mean * int64(tries-failed), tries, failed})
+	if b.tally(now); !b.elsewhere {
+		return
+	} else if b.unheard += tries; failed < tries {
+		b.answered, b.unheard = now, 0
+	}
+	if b.unheard >= provenSilent {
+		c.judge(now)
+	}
+}
+
 // Came is what came to a proxy, refused exchanges and repeats by clients among it.
 func (c *Controller) Came(id, class, count int, span int64) {
 	if c.proxies[id].joined && span > 0 {
@@ -259,7 +276,8 @@
 	}
 	n := len(c.classes) // it counts with its ordinary traffic until it is heard of
 	c.proxies[id] = &proxy{joined: true, bound: c.owners.exist(), keeps: keeps, zone: zone, usual: max(usual, 1),
-		part: id % c.parts, joinedAt: c.host.Now(), rates: slices.Repeat([]float64{usual / float64(n)}, n)}
+		part: id % c.parts, joinedAt: c.host.Now(), rates: slices.Repeat([]float64{usual / float64(n)}, n),
+		sent: c.proxies[id].owed, cramped: c.proxies[id].owed != nil}
 	for i := range c.owners.all { // it reads lines from the store, but must hear which writes are held
 		if s := &c.owners.all[i]; s.held > 0 {
 			s.held = -1
@@ -504,7 +522,7 @@
 				}
 				lines, cost, bare = lines+n, cost+n+1, bare || n == 0
 			})
-			ready := p.joined && !c.pressed && !bare && c.channel.fits(cost, false) && c.channel.may(p, now, false)
+			ready := p.joined && !c.pressed && !bare && c.channel.fits(cost, false) && c.channel.may(p, now, p.cramped)
 			switch {
 			case ready && !p.bound:
 				p.bound, bound = true, bound+1
@@ -567,7 +585,7 @@
 			b.score = b.mean / median
 		}
 		lags := b.mean >= hotAt*c.levels.expected && b.score >= strainAt && b.tries >= triesToJudge/2 &&
-			!b.load.idle(b.mean)
+			!b.load.idle(b.mean) && !b.elsewhere
 		switch {
 		// Silence counts only with tries, and where most answer: what is shared condemns nobody.
 		case usual >= wellAnswered && b.unheard >= provenSilent,
@@ -590,7 +608,7 @@
 		return away
 	}
 	b.backoff = max(firstBackoff, min(2*b.backoff, longestBackoff))
-	b.away, b.backAt, b.probedAt = true, now+b.backoff, now
+	b.away, b.learnt, b.backAt, b.probedAt = true, b.elsewhere, now+b.backoff, now
 	c.logf(id, "leaves R: %d of %d tries failed, %d s", b.failed, b.tries, b.backoff/second)
 	return away + b.Weight
 }
@@ -751,24 +769,6 @@
 	}
 }
 
-// demand is what comes to each joined proxy, and in all; where there are slices it is spread evenly.
-func (c *Controller) demand(class int) (rates []float64, total float64) {
-	for _, p := range c.proxies {
-		if p.joined {
-			rates = append(rates, p.rates[class]*float64(count(!c.owners.exist()))*c.levels.trim[class])
-		}
-	}
-	for _, s := range c.owners.all {
-		for i := 0; s.mine && i < len(rates); i++ {
-			rates[i] += s.rates[class] / float64(len(rates))
-		}
-	}
-	for _, rate := range rates {
-		total += rate
-	}
-	return rates, total
-}
-
 // steer settles how much is let in. When a queue stands nearly everywhere, what was answered is what can be:
 // less the queue while it drains, then most of it.
 func (c *Controller) steer(now int64) {
--- /dev/null
+++ b/decide/shared_test.go
@@ -0,0 +1,71 @@
+package decide
+
+import "testing"
+
+func TestShared(t *testing.T) {
+	t.Run("what others met is judged by the same rule while ours have met nothing", func(t *testing.T) {
+		s := begin(t, usual(), 4, 2)
+		s.plays(4, func() { s.fine(2) })
+		s.c.Learned(2, 6, 6, 0)
+		s.plays(3, func() { s.fine(2) })
+		s.weight(2, 0, "after others' six failures")
+	})
+	t.Run("what ours meet of late counts before it, both ways", func(t *testing.T) {
+		s := begin(t, usual(), 4, 2)
+		s.plays(8, func() { s.fine(); s.c.Learned(2, 6, 6, 0) })
+		s.weight(2, 2, "while our own tries are answered")
+		s = begin(t, usual(), 4, 2)
+		s.plays(8, func() { s.fine(2); s.hears(2, 10, 10, 0); s.c.Learned(2, 50, 0, 40_000) })
+		s.weight(2, 0, "while our own tries fail")
+	})
+	t.Run("it shows neither strain nor heat, and condemns nobody where most fail elsewhere too", func(t *testing.T) {
+		s := begin(t, usual(), 4, 2)
+		s.plays(8, func() { s.fine(2); s.c.Learned(2, 50, 0, 3_000_000) })
+		s.weight(2, 2, "slow as others see it")
+		if s.c.levels.heat > hotAt {
+			t.Errorf("heat %.2f", s.c.levels.heat)
+		}
+		s = begin(t, usual(), 4, 2)
+		s.plays(8, func() {
+			for b := range 4 {
+				s.hears(b, 10, 7, 40_000)
+			}
+			s.c.Learned(2, 50, 30, 40_000)
+		})
+		s.weight(2, 2, "where all fail alike")
+	})
+	t.Run("a withdrawal is told on if our own proxies showed it, not if others did", func(t *testing.T) {
+		s := begin(t, usual(), 4, 2)
+		s.plays(6, func() { s.fine(1, 2); s.hears(1, 10, 10, 0); s.c.Learned(2, 6, 6, 0) })
+		if tries, failed, away := s.c.Withdrawn(1); !away || tries == 0 || failed != tries {
+			t.Errorf("our own: %d of %d, %v", failed, tries, away)
+		}
+		if _, _, away := s.c.Withdrawn(2); away || !s.c.backends[2].away {
+			t.Errorf("that of others: told on %v, away %v", away, s.c.backends[2].away)
+		}
+	})
+	t.Run("messages that others sent count, a proxy that comes so is bound all the same, and then waits", func(t *testing.T) {
+		x := usual()
+		x.channel.MessagesMost, x.channel.MessagesSpan = 8, 10*second
+		s := begin(t, x, 4, 1)
+		s.plays(3, func() { s.fine() })
+		s.c.Left(0)
+		s.c.Spent(0, 6)
+		s.c.Joined(0, 0, 10, false)
+		if !s.c.proxies[0].bound {
+			t.Fatal("not bound, though two messages are left")
+		}
+		s.plays(4, func() { s.fine(2); s.hears(2, 10, 10, 0) })
+		s.weight(2, 2, "as an ordinary change has no message left")
+		s.plays(8, func() { s.fine(2); s.hears(2, 10, 10, 0) })
+		s.weight(2, 0, "once the span has passed")
+		s.c.Spent(0, 8)
+		if s.c.channel.may(s.c.proxies[0], s.now, true) {
+			t.Error("all are spent, and one may go")
+		}
+		s.plays(11, func() { s.fine(2) })
+		if !s.c.channel.may(s.c.proxies[0], s.now, true) {
+			t.Error("they count beyond the span")
+		}
+	})
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -14,6 +14,9 @@
 	enteredAt       int64   // when it entered or returned; 0 if it was here from the start
 
 	samples         []sample // what was heard within the reply timeout, and its sums
+	others          []sample // what others heard; it has the place of ours where there are none
+	elsewhere       bool     // so it does
+	learnt          bool     // it left R on that alone: telling it to others again would never end
 	tries, failed   int
 	mean            float64
 	load            Load
@@ -45,6 +48,8 @@
 	applied          int64     // orders up to this one have come through
 	rates            []float64 // exchanges a second that come to it, by class
 	sent             []int64   // when messages went to it, within the span that is counted
+	owed             []int64   // the same by others, for when it joins
+	cramped          bool      // others had sent some: its table may take what is kept for what is urgent
 }
 
 func count(yes bool) int {
@@ -55,10 +60,15 @@
 }
 
 func (b *backend) tally(now int64) {
-	b.samples = slices.DeleteFunc(b.samples, func(s sample) bool { return s.at <= now-replyTimeout })
+	old := func(s sample) bool { return s.at <= now-replyTimeout }
+	b.samples, b.others = slices.DeleteFunc(b.samples, old), slices.DeleteFunc(b.others, old)
+	heard := b.samples
+	if b.elsewhere = len(heard) == 0 && len(b.others) > 0; b.elsewhere {
+		heard = b.others
+	}
 	took := int64(0)
 	b.tries, b.failed, b.mean = 0, 0, 0
-	for _, s := range b.samples {
+	for _, s := range heard {
 		if s.from > b.since {
 			b.tries, b.failed, took = b.tries+s.tries, b.failed+s.failed, took+s.took
 		}
@@ -68,6 +78,29 @@
 	}
 }
 
+// Withdrawn tells whether a backend is out of R by what our own proxies met, and what that was as far as it is known.
+func (c *Controller) Withdrawn(id int) (tries, failed int, away bool) {
+	b := c.backends[id]
+	if b.unheard > 0 {
+		return b.unheard, b.unheard, b.away && !b.learnt
+	}
+	return b.tries, b.failed, b.away && !b.learnt
+}
+
+// Spent: so many of the messages that may go to a proxy within the span others have sent, or will have. It counts for
+// one that is joined, and for one that joins next.
+func (c *Controller) Spent(id, messages int) {
+	for len(c.proxies) <= id {
+		c.proxies = append(c.proxies, &proxy{})
+	}
+	p, at := c.proxies[id], c.host.Now()-1 // not of this clock time: a message of its own would share that one
+	if p.joined {
+		p.sent = append(slices.Repeat([]int64{at}, messages), p.sent...)
+	} else {
+		p.owed = slices.Repeat([]int64{at}, messages)
+	}
+}
+
 func (b *backend) answers() float64 { return 1 - float64(b.failed)/float64(max(b.tries, 1)) }
 
 func middle(values []float64, none float64) float64 {
@@ -134,3 +167,21 @@
 	}
 	return parts, fair
 }
+
+// demand is what comes to each joined proxy, and in all; where there are slices it is spread evenly.
+func (c *Controller) demand(class int) (rates []float64, total float64) {
+	for _, p := range c.proxies {
+		if p.joined {
+			rates = append(rates, p.rates[class]*float64(count(!c.owners.exist()))*c.levels.trim[class])
+		}
+	}
+	for _, s := range c.owners.all {
+		for i := 0; s.mine && i < len(rates); i++ {
+			rates[i] += s.rates[class] / float64(len(rates))
+		}
+	}
+	for _, rate := range rates {
+		total += rate
+	}
+	return rates, total
+}
--- a/replica/node.go
+++ b/replica/node.go
@@ -231,6 +231,9 @@
 	parts.Go(func() { n.propose(ctx) })
 	parts.Go(func() { n.belong(ctx) })
 	<-ctx.Done()
+	if r, _ := n.now(); r.State() == raft.Leader {
+		r.LeadershipTransfer().Error() // or the others go without a leader for a while
+	}
 	n.mutex.Lock()
 	shut := n.close
 	n.mutex.Unlock()
--- a/share/book.go
+++ b/share/book.go
@@ -55,8 +55,13 @@
 	Token   uint64 `cbor:"2,keyasint"`
 	Edition uint64 `cbor:"3,keyasint"`
 	Tables  []int  `cbor:"4,keyasint"`
+	// Sure: it shuts out what the owner ordered, and nothing that others did.
+	Sure bool `cbor:"5,keyasint,omitempty"`
 }
 
+// Shut is the number of a member's table of what it has withdrawn: a weight of 1 shuts out, 0 lets back.
+const Shut = -1
+
 // Seen is what a member's proxies met at a backend. Away: it is withdrawn there, and this is what showed it.
 type Seen struct {
 	Backend string `cbor:"1,keyasint"`
@@ -105,6 +110,7 @@
 	Edition uint64  `cbor:"4,keyasint"`
 	Tables  []int   `cbor:"5,keyasint"`
 	Moves   []Stamp `cbor:"6,keyasint"` // when it was taken over from others, the last ones
+	Sure    bool    `cbor:"7,keyasint,omitempty"`
 }
 
 // Base is what a proxy surely has of one class: lines, and backends of which it may have any line or none.
@@ -119,6 +125,7 @@
 	From, To Holding
 	Known    bool
 	Base     []Base // by class, if it is known
+	Clean    bool   // it is known besides that it shuts nothing out
 }
 
 const (
@@ -149,7 +156,7 @@
 	b.lay(life, e)
 	for _, t := range e.Told {
 		if h, ok := b.Proxies[t.Proxy]; ok && h.Token == t.Token && h.Life == e.Life && t.Edition >= h.Edition {
-			h.Edition, h.Tables = t.Edition, t.Tables
+			h.Edition, h.Tables, h.Sure = t.Edition, t.Tables, t.Sure
 			b.Proxies[t.Proxy] = h
 		}
 	}
@@ -250,11 +257,26 @@
 	}
 	if m.Known {
 		m.Base, m.Known = b.base(from, last)
+		m.Clean = m.Known && from.Sure && last.clean(from.Edition)
 	}
 	b.Proxies[proxy] = m.To
 	return m
 }
 
+// clean tells whether one that confirmed an edition shuts nothing out that the life has withdrawn.
+func (l *Life) clean(edition uint64) bool {
+	t := l.Tables[Shut]
+	if t == nil {
+		return true
+	}
+	for _, l := range t.Lines {
+		if l.Weight > 0 || l.At > edition {
+			return false
+		}
+	}
+	return edition >= t.Floor
+}
+
 // base is what a proxy has by the record. A line that was set after what it confirmed may have come to it or not.
 func (b *Book) base(h Holding, life *Life) (by []Base, known bool) {
 	if h.Edition == 0 || len(h.Tables) == 0 {
--- a/share/check_test.go
+++ b/share/check_test.go
@@ -60,7 +60,7 @@
 
 func (p *player) Mode(bool, string) {}
 
-func (p *player) Granted(_ int, token uint64, base []Base, spent int) {
+func (p *player) Granted(_ int, token uint64, base []Base, _ bool, spent int) {
 	p.granted, p.token, p.sent = p.joined, token, nil
 	p.Spent(0, spent)
 	if p.w.stream != p.index || p.w.serial != p.joined {
@@ -216,7 +216,7 @@
 		if p.index != w.stream || !p.up || p.granted != p.joined || len(p.wait) > 0 || p.wrote != w.serial {
 			return false
 		}
-		p.desk.Confirmed(0, p.desk.Edition(), []int{0})
+		p.desk.Confirmed(0, p.desk.Edition(), []int{0}, true)
 	case 'x':
 		if !p.up || p.cut {
 			return false
--- a/share/desk.go
+++ b/share/desk.go
@@ -9,9 +9,9 @@
 type Host interface {
 	// Propose asks for an entry to be put on the record. Answered or Failed follows, once.
 	Propose(Entry)
-	// Granted lets the decisions have a proxy that joined. What it surely has is known where there is a base. So many of
-	// the messages that one owner may write to it are spent already.
-	Granted(proxy int, token uint64, base []Base, spent int)
+	// Granted lets the decisions have a proxy that joined. What it surely has is known where there is a base; clean says
+	// that it shuts nothing out. So many of the messages that one owner may write to it are spent already.
+	Granted(proxy int, token uint64, base []Base, clean bool, spent int)
 	// Spent takes messages away from what may be written to a proxy that was granted before.
 	Spent(proxy, messages int)
 	// Release lets what was ordered up to an edition leave.
@@ -55,6 +55,7 @@
 	stood     int64  // when the last entry that was answered had been proposed
 	last      int64  // when any was
 	alone     bool
+	closing   bool
 
 	edition uint64                     // of our tables
 	tables  map[int]map[string]float64 // as they stand
@@ -79,6 +80,7 @@
 	disowned  int64 // since when another owns it by the record; 0 if none does
 	edition   uint64
 	tables    []int
+	sure      bool
 }
 
 // New makes the desk of a member that has just started.
@@ -138,7 +140,7 @@
 	}
 	d.claim(proxy)
 	if d.alone {
-		d.grant(proxy, nil, d.terms.Own(), now)
+		d.grant(proxy, Move{}, d.terms.Own(), now)
 	}
 	d.goOn(now)
 }
@@ -186,16 +188,17 @@
 // Edition is that of our tables.
 func (d *Desk) Edition() uint64 { return d.edition }
 
-// Confirmed: a proxy has applied all that we wrote to it up to an edition; its tables are bound as given, by class.
-func (d *Desk) Confirmed(proxy int, edition uint64, tables []int) {
+// Confirmed: a proxy has applied all that we wrote to it up to an edition; its tables are bound as given, by class. Sure:
+// it shuts out what we ordered, and nothing that others did.
+func (d *Desk) Confirmed(proxy int, edition uint64, tables []int, sure bool) {
 	p := d.proxies[proxy]
 	if p == nil || edition < p.edition || slices.Contains(tables, -1) {
 		return
 	}
-	if p.edition == edition && slices.Equal(p.tables, tables) {
+	if p.edition == edition && p.sure == sure && slices.Equal(p.tables, tables) {
 		return
 	}
-	p.edition, p.tables = edition, slices.Clone(tables)
+	p.edition, p.tables, p.sure = edition, slices.Clone(tables), sure
 	d.tell(proxy, p)
 }
 
@@ -203,7 +206,7 @@
 	if p.token == 0 || p.edition == 0 {
 		return
 	}
-	told := Told{proxy, p.token, p.edition, p.tables}
+	told := Told{proxy, p.token, p.edition, p.tables, p.sure}
 	if at := slices.IndexFunc(d.next.Told, func(t Told) bool { return t.Proxy == proxy }); at >= 0 {
 		d.next.Told[at] = told
 		return
@@ -216,10 +219,16 @@
 
 // Close gives all away at a planned end: from now on nothing is written to any proxy.
 func (d *Desk) Close(now int64) {
-	d.next.Closing, d.next.Claims = true, nil
+	d.closing, d.next.Closing, d.next.Claims = true, true, nil
 	d.goOn(now)
 }
 
+// Closed tells whether our end stands on the record.
+func (d *Desk) Closed() bool {
+	life := d.book.Lives[d.life]
+	return d.closing && life != nil && life.Closed
+}
+
 // Elapsed looks at what waits for time.
 func (d *Desk) Elapsed(now int64) {
 	if !d.alone && now-d.stood >= d.terms.Lease {
@@ -246,7 +255,7 @@
 	d.host.Release(d.edition)
 	for _, proxy := range slices.Sorted(maps.Keys(d.proxies)) {
 		if !d.proxies[proxy].granted {
-			d.grant(proxy, nil, d.terms.Own(), now)
+			d.grant(proxy, Move{}, d.terms.Own(), now)
 		}
 	}
 	d.enter() // what we write from now on is another life's
@@ -254,7 +263,8 @@
 
 // goOn proposes what has gathered, one entry at a time.
 func (d *Desk) goOn(now int64) {
-	pressing := len(d.next.Claims) > 0 || len(d.next.Laid) > 0 || d.next.Closing || d.seq == 0
+	pressing := len(d.next.Claims) > 0 || len(d.next.Laid) > 0 || d.next.Closing || d.seq == 0 ||
+		len(d.next.Told) > 0 && now-d.last >= d.terms.Renew/2
 	if d.under != nil || !pressing && now-d.last < d.terms.Renew {
 		return
 	}
@@ -278,9 +288,9 @@
 		d.goOn(now)
 		return
 	}
-	if d.alone {
+	if d.alone || seq == 1 {
 		d.alone = false
-		d.host.Mode(false, "an entry of ours stands again")
+		d.host.Mode(false, "we have entered the record")
 	}
 	d.host.Release(edition)
 	d.goOn(now)
@@ -304,13 +314,27 @@
 	for _, m := range moves {
 		d.moved(m, now)
 	}
-	for _, s := range e.Seen {
-		if e.Member != d.name {
+	switch entered := d.book.Lives[d.life] != nil; {
+	case e.Life == d.life && e.Seq == 1:
+		d.learnStanding()
+	case entered && e.Member != d.name: // what stood on the record before we came is old
+		for _, s := range e.Seen {
 			d.host.Learned(e.Member, s)
 		}
 	}
 }
 
+// learnStanding tells what others have withdrawn, to one that has just come.
+func (d *Desk) learnStanding() {
+	for _, id := range slices.Sorted(maps.Keys(d.book.Away)) {
+		for _, member := range slices.Sorted(maps.Keys(d.book.Away[id])) {
+			if member != d.name {
+				d.host.Learned(member, d.book.Away[id][member])
+			}
+		}
+	}
+}
+
 // Restored takes the record as a whole, in place of the entries that led to it.
 func (d *Desk) Restored(book *Book, now int64) {
 	d.book = book
@@ -322,13 +346,6 @@
 			p.token, p.owned, p.disowned = 0, false, now
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(book.Away)) {
-		for _, member := range slices.Sorted(maps.Keys(book.Away[id])) {
-			if member != d.name {
-				d.host.Learned(member, book.Away[id][member])
-			}
-		}
-	}
 }
 
 // hears takes a stamp of the record.
@@ -380,7 +397,7 @@
 			return
 		}
 		spent := d.terms.Own() * min(1, standing/2) // one former owner's share is laid aside, a second one's is ours
-		d.grant(m.Proxy, m.Base, spent, now)
+		d.grant(m.Proxy, m, spent, now)
 	case p.owned && m.To.Token > p.token:
 		p.owned, p.token, p.disowned = false, 0, now
 		if p.granted {
@@ -389,12 +406,12 @@
 	}
 }
 
-func (d *Desk) grant(proxy int, base []Base, spent int, now int64) {
+func (d *Desk) grant(proxy int, m Move, spent int, now int64) {
 	p := d.proxies[proxy]
 	p.granted, p.grantedAt = true, now
 	recent := slices.DeleteFunc(d.strays[proxy], func(at int64) bool { return now-at >= d.terms.Span })
 	if d.strays[proxy] = append(recent, now); len(recent) > 1 {
 		spent += d.terms.Stray()
 	}
-	d.host.Granted(proxy, p.token, base, spent)
+	d.host.Granted(proxy, p.token, m.Base, m.Clean, spent)
 }
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -22,7 +22,7 @@
 func newPlace() *place { return &place{granted: map[int]string{}, spent: map[int]int{}} }
 
 func (p *place) Propose(e Entry) { p.proposed = append(p.proposed, e) }
-func (p *place) Granted(proxy int, token uint64, base []Base, spent int) {
+func (p *place) Granted(proxy int, token uint64, base []Base, _ bool, spent int) {
 	p.granted[proxy] = fmt.Sprint(token, " ", base != nil, " ", spent)
 }
 func (p *place) Spent(proxy, messages int)     { p.spent[proxy] += messages }
@@ -59,7 +59,7 @@
 		d.Recorded(Entry{Member: "n1", Life: 1, Seq: 2, Claims: []int{5}, Edition: 1, Stamp: Stamp{7, 10},
 			Laid: []Laid{{0, []Line{{"a", 1}, {"b", 2}}}}}, 10)
 		d.Recorded(Entry{Member: "n1", Life: 1, Seq: 3, Edition: 1, Stamp: Stamp{7, 20},
-			Told: []Told{{5, 1, 1, []int{0, 0}}}}, 20)
+			Told: []Told{{5, 1, 1, []int{0, 0}, true}}}, 20)
 		d.Joined(5, 30)
 		if len(p.granted) > 0 {
 			t.Fatalf("granted %v before its claim stands", p.granted)
@@ -73,7 +73,7 @@
 		for _, recorded := range [][]uint64{{1, 1000}, {2, 1000}, nil} {
 			p, d := works(t)
 			d.Recorded(Entry{Member: "n1", Life: 1, Seq: 2, Claims: []int{5}, Edition: 1, Laid: []Laid{{0, []Line{{"a", 1}}}}}, 10)
-			d.Recorded(Entry{Member: "n1", Life: 1, Seq: 3, Edition: 1, Told: []Told{{5, 1, 1, []int{0}}}}, 20)
+			d.Recorded(Entry{Member: "n1", Life: 1, Seq: 3, Edition: 1, Told: []Told{{5, 1, 1, []int{0}, true}}}, 20)
 			d.Joined(5, 30)
 			if p.stands(d, 40, recorded...); p.granted[5] != "2 false 0" {
 				t.Errorf("recorded %v: granted %v", recorded, p.granted)
@@ -89,7 +89,7 @@
 		if d.Elapsed(999); d.Alone() || p.released >= edition {
 			t.Error("off the record too early")
 		}
-		if d.Elapsed(1100); !d.Alone() || p.released != edition || !slices.Equal(p.modes, []bool{true}) {
+		if d.Elapsed(1100); !d.Alone() || p.released != edition || !slices.Equal(p.modes, []bool{false, true}) {
 			t.Errorf("alone %v, released %d, modes %v", d.Alone(), p.released, p.modes)
 		}
 		if d.Joined(3, 1200); p.granted[3] != fmt.Sprint("0 false ", terms.Own()) {
@@ -190,22 +190,39 @@
 		b.Take(Entry{Member: "n0", Life: 1, Seq: 1, Claims: []int{3}, Edition: 1,
 			Laid: []Laid{{0, []Line{{"a", 1}, {"b", 1}, {"c", 1}}}}})
 		b.Take(Entry{Member: "n0", Life: 1, Seq: 2, Edition: 2, Laid: []Laid{{0, []Line{{"a", 0.5}, {"b", 0}}}},
-			Told: []Told{{3, 1, 1, []int{0}}}})
+			Told: []Told{{3, 1, 1, []int{0}, true}}})
 		moves, _ := b.Take(Entry{Member: "n1", Life: 2, Seq: 1, Claims: []int{3}, Recorded: []uint64{1}})
 		base := moves[0].Base
 		if len(base) != 1 || !base[0].Doubt["a"] || !base[0].Doubt["b"] || base[0].Doubt["c"] || base[0].Lines["c"] != 1 {
 			t.Errorf("base %+v", base)
 		}
 	})
+	t.Run("what a proxy shuts out is known once it confirmed what was withdrawn, if nothing of others is left", func(t *testing.T) {
+		for _, story := range []struct {
+			sure       bool
+			shut       float64
+			set, heard uint64
+			clean      bool
+		}{{true, 0, 2, 2, true}, {true, 1, 2, 2, false}, {true, 0, 3, 2, false}, {false, 0, 2, 2, false}} {
+			b := NewBook()
+			b.Take(Entry{Member: "n0", Life: 1, Seq: 1, Claims: []int{3}, Edition: 1, Laid: []Laid{{0, []Line{{"a", 1}}}}})
+			b.Take(Entry{Member: "n0", Life: 1, Seq: 2, Edition: story.set, Laid: []Laid{{Shut, []Line{{"a", story.shut}}}},
+				Told: []Told{{3, 1, story.heard, []int{0}, story.sure}}})
+			if moves, _ := b.Take(Entry{Member: "n1", Life: 2, Seq: 1, Claims: []int{3}, Recorded: []uint64{1}}); moves[0].Clean != story.clean ||
+				!moves[0].Known {
+				t.Errorf("%+v: %+v", story, moves[0])
+			}
+		}
+	})
 	t.Run("what is remembered of lines taken out has an end, from which on a base is not known", func(t *testing.T) {
 		b := NewBook()
 		b.Take(Entry{Member: "n0", Life: 1, Seq: 1, Claims: []int{3, 4}, Edition: 1, Laid: []Laid{{0, []Line{{"a", 1}}}}})
-		b.Take(Entry{Member: "n0", Life: 1, Seq: 2, Edition: 1, Told: []Told{{3, 1, 1, []int{0}}}})
+		b.Take(Entry{Member: "n0", Life: 1, Seq: 2, Edition: 1, Told: []Told{{3, 1, 1, []int{0}, true}}})
 		for seq := uint64(3); seq < 400; seq++ {
 			b.Take(Entry{Member: "n0", Life: 1, Seq: seq, Edition: seq,
 				Laid: []Laid{{0, []Line{{fmt.Sprint("s", seq), 0}}}}})
 		}
-		b.Take(Entry{Member: "n0", Life: 1, Seq: 400, Edition: 400, Told: []Told{{4, 2, 399, []int{0}}}})
+		b.Take(Entry{Member: "n0", Life: 1, Seq: 400, Edition: 400, Told: []Told{{4, 2, 399, []int{0}, true}}})
 		if n := len(b.Lives[1].Tables[0].Lines); n > mostOut+1 {
 			t.Errorf("%d lines are remembered", n)
 		}
@@ -234,15 +251,21 @@
 		}
 	})
 	t.Run("a withdrawal stands until its member takes it back, or enters anew", func(t *testing.T) {
-		p, d := works(t)
+		p := newPlace()
+		d := New(p, "n0", terms, 0)
+		d.Elapsed(0)
 		for member, life := range map[string]uint64{"n1": 1, "n2": 2} {
+			d.Recorded(Entry{Member: member, Life: life, Seq: 1}, 0)
 			d.Recorded(Entry{Member: member, Life: life, Seq: 2, Seen: []Seen{{Backend: "a", Tries: 5, Failed: 5, Away: true}}}, 10)
 		}
 		d.Recorded(Entry{Member: "n1", Life: 1, Seq: 3, Seen: []Seen{{Backend: "a", Tries: 5}}}, 20)
-		if p.learned = nil; len(d.book.Away["a"]) != 1 {
-			t.Errorf("withdrawn %v", d.book.Away)
+		if len(d.book.Away["a"]) != 1 || len(p.learned) > 0 {
+			t.Errorf("withdrawn %v, learned %v before we came", d.book.Away, p.learned)
+		}
+		if p.stands(d, 30); !slices.Equal(p.learned, []string{"n2 a"}) {
+			t.Errorf("learned %v", p.learned)
 		}
-		if d.Restored(d.book, 30); !slices.Equal(p.learned, []string{"n2 a"}) {
+		if d.Recorded(Entry{Member: "n1", Life: 1, Seq: 4, Seen: []Seen{{Backend: "b"}}}, 35); !slices.Equal(p.learned, []string{"n2 a", "n1 b"}) {
 			t.Errorf("learned %v", p.learned)
 		}
 		if d.Recorded(Entry{Member: "n2", Life: 5, Seq: 1}, 40); len(d.book.Away) != 0 {
