--- a/cmd/wheelrill/main_test.go
+++ b/cmd/wheelrill/main_test.go
@@ -1,12 +1,13 @@
 package main
 
 import (
-	"log"
 	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+
+	"wheelrill/controller"
 )
 
 // lines hands on what is logged.
@@ -33,10 +34,8 @@
 	}
 	writes(good)
 	said := make(lines, 1024)
-	log.SetOutput(said)
-	defer log.SetOutput(os.Stderr)
 	ended := make(chan error, 1)
-	go func() { ended <- run(hangUps()) }()
+	go func() { ended <- run(hangUps(), "", controller.Journal(said)) }()
 	waits := func(some string) {
 		for line := range said {
 			if strings.Contains(line, some) {
--- /dev/null
+++ b/cmd/wheelrill/rehearse_test.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"wheelrill/rehearse"
+	"wheelrill/rules"
+)
+
+const asProgram = "WHEELRILL_AS_PROGRAM" // has the test's own process be the program, for rehearsals that start it
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func TestTakeover(t *testing.T) {
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(asProgram, "yes")
+	for _, story := range []struct {
+		name string
+		play rehearse.Takeover
+	}{
+		{"members are killed", rehearse.Takeover{Sharing: true, Fenced: true}},
+		{"members freeze, are cut off and leave", rehearse.Takeover{Sharing: true, Faults: "freeze,cut,leave"}},
+		{"nothing is shared", rehearse.Takeover{}},
+	} {
+		t.Run(story.name, func(t *testing.T) {
+			p := story.play
+			p.For, p.KillEvery, p.Instances, p.Relays, p.Workers, p.Seed = 6*time.Second, 2*time.Second, 3, 12, 4, 3
+			p.Program, p.Folder = program, t.TempDir()
+			report, err := p.Run(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if report.Verdict == rehearse.Unjudged {
+				t.Skip(report.Why)
+			}
+			if report.Verdict != rehearse.Kept || len(report.Faults) == 0 || report.Fulfilled == 0 {
+				t.Errorf("got %+v", report)
+			}
+		})
+	}
+}
+
+func TestVerdict(t *testing.T) {
+	for verdict, want := range map[string]error{rehearse.Kept: nil, rehearse.Broken: exit(1), rehearse.Unjudged: exit(2)} {
+		report := &rehearse.Report{Scenario: "takeover", Verdict: verdict, Breaches: []rules.Breach{{Rule: 2, Whose: "x", Text: "twice"}}}
+		var text bytes.Buffer
+		if err := told(&text, report, false); err != want || !strings.Contains(text.String(), "verdict: "+verdict) ||
+			!strings.Contains(text.String(), "rule 2 at 0.0 s: x: twice") {
+			t.Errorf("%s: ended with %v, said %s", verdict, err, text.String())
+		}
+		text.Reset()
+		var back rehearse.Report
+		if err := told(&text, report, true); err != want || json.Unmarshal(text.Bytes(), &back) != nil || back.Verdict != verdict {
+			t.Errorf("%s: ended with %v, wrote %s", verdict, err, text.String())
+		}
+	}
+	for _, args := range [][]string{{"rehearse", "run", "nothing"}, {"rehearse", "run", "takeover", "--sharing", "some"},
+		{"rehearse", "run", "takeover", "--instances", "1"}} {
+		top := root(nil)
+		top.SetArgs(args)
+		var code exit
+		if err := top.Execute(); !errors.As(err, &code) || code != exitUnjudged {
+			t.Errorf("%v ended with %v", args, err)
+		}
+	}
+}
+
+func TestOptions(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "w.yaml")
+	if err := os.WriteFile(path, []byte("sharing:\n  member: {}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("LB_CONFIG", "../../deploy/sample.json")
+	if err := run(nil, path, nil); err == nil || !strings.Contains(err.Error(), "w.yaml:2: member: unknown field") {
+		t.Errorf("got %v", err)
+	}
+	if err := run(nil, "../../deploy/none.yaml", nil); err == nil || !strings.Contains(err.Error(), "cannot be read") {
+		t.Errorf("got %v", err)
+	}
+	if shipped, err := os.ReadFile("../../deploy/wheelrill.yaml"); err != nil || len(shipped) == 0 {
+		t.Errorf("the shipped options file: %v", err)
+	}
+}
--- /dev/null
+++ b/cmd/wheelrill/serve.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"wheelrill/controller"
+	"wheelrill/options"
+	"wheelrill/replica"
+)
+
+func root(again <-chan os.Signal) *cobra.Command {
+	var path string
+	start := func(*cobra.Command, []string) error { return logged(run(again, path, controller.Journal(os.Stderr))) }
+	top := &cobra.Command{Use: "wheelrill", Short: "Assigns exchanges to backends; without a command it serves",
+		Long: "wheelrill is one controller: proxies and collectors connect to it, it follows discovery, and tells proxies where\n" +
+			"exchanges go. Without a command it serves as LB_CONFIG says.",
+		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true, RunE: start}
+	serve := &cobra.Command{Use: "serve", Short: "Serve until SIGTERM",
+		Example: "  LB_CONFIG=deploy/sample.json wheelrill serve --options deploy/wheelrill.yaml", Args: cobra.NoArgs, RunE: start}
+	serve.Flags().StringVar(&path, "options", "", "YAML file of what is switched on beside LB_CONFIG")
+	top.AddCommand(serve, rehearsals())
+	return top
+}
+
+// hangUps catches SIGHUP from now on; several that wait are one.
+func hangUps() <-chan os.Signal {
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	return again
+}
+
+// logged writes why a controller could not go on, where its other lines are.
+func logged(err error) error {
+	if err != nil {
+		controller.Journal(os.Stderr).Info("failed", "error", err)
+		return exit(1)
+	}
+	return nil
+}
+
+// run serves until SIGTERM or an interrupt; each SIGHUP has the configuration read anew.
+func run(again <-chan os.Signal, path string, log *slog.Logger) error {
+	given := &options.File{}
+	if path != "" {
+		var err error
+		if given, err = options.Read(path); err != nil {
+			return err
+		}
+	}
+	configuration, err := read()
+	if err != nil {
+		return err
+	}
+	c, err := controller.New(controller.Place{Name: os.Getenv("LB_NAME"), Listen: os.Getenv("LB_LISTEN"),
+		Discovery: os.Getenv("LB_DISCOVERY")}, configuration, log)
+	if err != nil {
+		return err
+	}
+	if s := given.Sharing; s != nil {
+		if err := c.Share(controller.Sharing{Name: s.Name, Members: s.Members, Folder: s.Folder,
+			Credentials: replica.Credentials{Certificate: s.Certificate, Key: s.Key, Authority: s.Authority},
+			Lease:       s.LeaseTime().Microseconds()}); err != nil {
+			return fmt.Errorf("%s: sharing: %w", path, err)
+		}
+	}
+	runtime.GOMAXPROCS(c.Cores())
+	if c.Memory() > 0 {
+		debug.SetMemoryLimit(c.Memory() / 4 * 3)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	var reloads sync.WaitGroup
+	defer reloads.Wait()
+	defer stop()
+	reloads.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-again:
+				reload(c, log)
+			}
+		}
+	})
+	return c.Serve(ctx)
+}
+
+func read() ([]byte, error) {
+	path := os.Getenv("LB_CONFIG")
+	if path == "" {
+		return nil, errors.New("LB_CONFIG is not set; give the path of a configuration, as deploy/sample.json")
+	}
+	configuration, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	return configuration, nil
+}
+
+func reload(c *controller.Controller, log *slog.Logger) {
+	configuration, err := read()
+	if err == nil {
+		err = c.Reload(configuration)
+	}
+	if err != nil {
+		log.Info("reload_refused", "error", err, "text", "the configuration stays as it was")
+	}
+}
--- /dev/null
+++ b/rehearse/takeover.go
@@ -0,0 +1,414 @@
+package rehearse
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"wheelrill/rules"
+	"wheelrill/standin"
+)
+
+// Takeover has controllers die under load, again and again, and come back as new. Load is of two classes, one of which
+// must not run twice; a worker hangs now and then.
+type Takeover struct {
+	For       time.Duration
+	KillEvery time.Duration
+	Instances int
+	Relays    int
+	Workers   int
+	Seed      uint64
+	Sharing   bool
+	Fenced    bool   // relays ask for tokens, and refuse older ones
+	Faults    string // of kill, freeze, cut and leave, which are drawn from
+	Disk      bool   // members keep the record on disk, and come back as who they were
+	Program   string // that is run as a controller
+	Folder    string // for logs and configurations; a temporary one if empty
+	Progress  func(text string)
+}
+
+// Report is what a rehearsal has shown.
+type Report struct {
+	Scenario   string         `json:"scenario"`
+	Seed       uint64         `json:"seed"`
+	Sharing    bool           `json:"sharing"`
+	Instances  int            `json:"instances"`
+	Relays     int            `json:"relays"`
+	Seconds    float64        `json:"seconds"`
+	Faults     map[string]int `json:"faults"`
+	Verdict    string         `json:"verdict"` // kept, broken, or could not be judged
+	Why        string         `json:"why,omitempty"`
+	Breaches   []rules.Breach `json:"breaches"`
+	Broken     map[string]int `json:"broken"`
+	Effects    int            `json:"effects"`
+	BareMost   float64        `json:"longest_without_a_line_s"`
+	Messages   int            `json:"most_messages_to_a_relay"`
+	Fulfilled  float64        `json:"importance_fulfilled"` // share of what was asked for, in time
+	Lost       int            `json:"lost"`
+	Refused    int            `json:"refused"`
+	Came       int            `json:"came"`
+	Takeovers  int            `json:"streams_begun"`
+	JoinLines  float64        `json:"lines_in_the_first_second_of_a_stream"`
+	Lines      int            `json:"lines"`
+	Orders     int            `json:"orders"`
+	Stale      int            `json:"orders_refused_as_of_an_older_owner"`
+	Hangs      int            `json:"hangs"`
+	LeaveMean  float64        `json:"left_a_hung_worker_after_s_mean"`
+	LeaveMost  float64        `json:"left_a_hung_worker_after_s_most"`
+	IntoHang   int            `json:"tries_into_a_hang"`
+	TurnsLate  float64        `json:"turn_late_ms_of_one_in_a_hundred"`
+	LatestTurn float64        `json:"turn_late_ms_most"`
+	Folder     string         `json:"folder"`
+}
+
+// Verdicts.
+const (
+	Kept     = "kept"
+	Broken   = "broken"
+	Unjudged = "could not be judged"
+)
+
+// Figures of the scenario's installation.
+const (
+	hangFor   = 8 * time.Second
+	hangEvery = 18 * time.Second
+	frozenFor = 10 * time.Second
+	cutFor    = 8 * time.Second
+	tooLate   = 100 * time.Millisecond // of one turn in a hundred: nothing measured means anything
+	grace     = 3000 * time.Millisecond
+	slack     = 300 * time.Millisecond // that real sockets get beyond it
+	readyIn   = 30 * time.Second
+)
+
+// settings are what every controller is given, in the form of the simulator's first message.
+func (t *Takeover) settings(classes []standin.Class) map[string]any {
+	var profiles []map[string]any
+	var writes, stays []bool
+	for _, c := range classes {
+		profiles = append(profiles, map[string]any{"name": c.Name, "target": c.Expected.Milliseconds(),
+			"deadline": c.Outer.Milliseconds(), "worth": c.Importance})
+		writes, stays = append(writes, c.Writes), append(stays, false)
+	}
+	return map[string]any{"azs": []string{"a", "b", "c"}, "tick": 4.0, "weights": "rough", "membershipMode": "automatic",
+		"familyInfo": map[string]any{"admission": "per_second", "backlog": 900, "egressPerS": 900, "overhead": 4,
+			"pushDelayMax": 660, "reportEvery": 1000, "messagesMost": 30, "messagesOver": 10000, "proxyCount": t.Relays,
+			"partitionsN": 0, "classWrites": writes, "staysLocal": stays},
+		"limits": map[string]any{"mayProbe": false}, "profiles": profiles,
+		"reporting": map[string]any{"how": "silent", "fields": []string{}},
+		"rules":     map[string]any{"coldShare": 0.16, "rampTime": 17000, "stopSendingWithin": grace.Milliseconds()}}
+}
+
+// Run plays it. An error means that it could not be played at all.
+func (t *Takeover) Run(ctx context.Context) (*Report, error) {
+	if t.Instances < 1 || t.Relays < 1 || t.Sharing && t.Instances < 2 {
+		return nil, fmt.Errorf("instances %d, relays %d: one of each at least, two instances where they share", t.Instances, t.Relays)
+	}
+	folder := t.Folder
+	if folder == "" {
+		var err error
+		if folder, err = os.MkdirTemp("", "takeover-"); err != nil {
+			return nil, err
+		}
+	} else if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, err
+	}
+	classes := []standin.Class{
+		{Name: "lookup", Expected: 400 * time.Millisecond, Outer: 1500 * time.Millisecond, Importance: 1, Rate: 3},
+		{Name: "order", Expected: 300 * time.Millisecond, Outer: 1200 * time.Millisecond, Importance: 3, Writes: true, Rate: 1}}
+	addresses, err := free(2 * t.Instances)
+	if err != nil {
+		return nil, err
+	}
+	in, err := standin.NewInstallation(standin.Plan{Zones: []string{"a", "b", "c"}, Workers: t.Workers, Cores: 4,
+		Service: 20 * time.Millisecond, Relays: t.Relays, Fenced: t.Fenced, Classes: classes, Reports: time.Second, Seed: t.Seed},
+		rules.Limits{Bare: grace + slack, Grace: grace + slack, Messages: 30, Span: 10 * time.Second, LinesPerS: 900, Backlog: 900,
+			Margin: 500 * time.Millisecond}, addresses[:t.Instances])
+	if err != nil {
+		return nil, err
+	}
+	p := &play{Takeover: t, in: in, folder: folder, random: rand.New(rand.NewPCG(t.Seed, 1)), faults: map[string]int{},
+		report: &Report{Scenario: "takeover", Seed: t.Seed, Sharing: t.Sharing, Instances: t.Instances, Relays: t.Relays, Folder: folder}}
+	defer p.end()
+	if err := p.set(addresses[:t.Instances], addresses[t.Instances:], classes); err != nil {
+		in.Close()
+		return nil, err
+	}
+	for _, i := range p.instances {
+		if err := i.start(); err != nil {
+			in.Close()
+			return nil, err
+		}
+	}
+	if !p.waits(ctx, readyIn, func() bool {
+		return !slices.ContainsFunc(p.instances, func(i *instance) bool { return !i.answers() })
+	}) {
+		in.Close()
+		return nil, fmt.Errorf("the controllers do not answer within %s; their logs are in %s", readyIn, folder)
+	}
+	in.Play()
+	if !p.waits(ctx, readyIn, func() bool {
+		all, _ := in.Joined(0)
+		return all == t.Relays && in.Holding(in.Workers[0].ID) == t.Relays
+	}) {
+		in.Close()
+		return nil, fmt.Errorf("the relays have no tables within %s; the controllers' logs are in %s", readyIn, folder)
+	}
+	return p.play(ctx)
+}
+
+// play is one run of the scenario.
+type play struct {
+	*Takeover
+	in        *standin.Installation
+	instances []*instance
+	between   map[[2]int]*standin.Wire // between members
+	folder    string
+	random    *rand.Rand
+	faults    map[string]int
+	report    *Report
+	due       []due
+}
+
+// due is something that comes later.
+type due struct {
+	at   time.Time
+	what func() error
+}
+
+func (p *play) later(after time.Duration, what func() error) {
+	p.due = append(p.due, due{time.Now().Add(after), what})
+}
+
+func (p *play) waits(ctx context.Context, within time.Duration, until func() bool) bool {
+	late := time.After(within)
+	for !until() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-late:
+			return false
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return true
+}
+
+// set writes what each controller is started with.
+func (p *play) set(listen, members []string, classes []standin.Class) error {
+	p.between = map[[2]int]*standin.Wire{}
+	for i := range p.Instances {
+		name := fmt.Sprint("n", i)
+		config, err := writes(p.folder, name+".json", map[string]any{"name": name, "listen": listen[i],
+			"discovery": p.in.Discovery.Address(), "seed": fmt.Sprintf("%x", p.Seed+uint64(i)+1),
+			"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+			"settings": p.settings(classes)})
+		if err != nil {
+			return err
+		}
+		one := &instance{name: name, program: p.Program, listen: listen[i], env: []string{"LB_CONFIG=" + config}}
+		if p.Sharing {
+			all := map[string]string{}
+			for j := range p.Instances {
+				if all[fmt.Sprint("n", j)] = members[j]; i != j {
+					wire, err := standin.NewWire(members[j])
+					if err != nil {
+						return err
+					}
+					p.between[[2]int{i, j}] = wire
+					all[fmt.Sprint("n", j)] = wire.Address()
+				}
+			}
+			sharing := map[string]any{"name": name, "members": all, "plain": true}
+			if p.Disk {
+				sharing["folder"] = filepath.Join(p.folder, name)
+			}
+			body, err := yaml.Marshal(map[string]any{"sharing": sharing})
+			if err != nil {
+				return err
+			}
+			path := filepath.Join(p.folder, name+".yaml")
+			if err := os.WriteFile(path, body, 0o600); err != nil {
+				return err
+			}
+			one.args = []string{"serve", "--options", path}
+		}
+		if one.log, err = os.Create(filepath.Join(p.folder, name+".log")); err != nil {
+			return err
+		}
+		p.instances = append(p.instances, one)
+	}
+	return nil
+}
+
+func (p *play) end() {
+	for _, i := range p.instances {
+		if i.up {
+			i.signal(syscall.SIGCONT)
+			i.signal(syscall.SIGKILL)
+		}
+		i.log.Close()
+	}
+	for _, wire := range p.between {
+		wire.Close()
+	}
+}
+
+func (p *play) play(ctx context.Context) (*Report, error) {
+	load, before, began := watchBusy(), p.in.Counts(), time.Now()
+	var left []time.Duration
+	fault, hang := began.Add(p.KillEvery), began.Add(hangEvery/4)
+	for ctx.Err() == nil && time.Since(began) < p.For {
+		select {
+		case <-ctx.Done():
+		case <-time.After(20 * time.Millisecond):
+		}
+		now := time.Now()
+		for i := 0; i < len(p.due); i++ {
+			if d := p.due[i]; now.After(d.at) {
+				p.due = slices.Delete(p.due, i, i+1)
+				i--
+				if err := d.what(); err != nil {
+					return nil, err
+				}
+			}
+		}
+		if now.After(fault) {
+			fault = fault.Add(p.KillEvery)
+			if err := p.fault(); err != nil {
+				return nil, err
+			}
+		}
+		if now.After(hang) {
+			hang = hang.Add(hangEvery)
+			p.hang(&left)
+		}
+		for _, i := range p.instances {
+			if i.gone() {
+				return nil, fmt.Errorf("%s has ended by itself; its log is %s", i.name, i.log.Name())
+			}
+		}
+	}
+	p.report.Seconds = time.Since(began).Seconds()
+	verdict, after := p.in.Close()
+	hundredth, most := load.end()
+	p.sum(verdict, before, after, left)
+	p.judge(verdict, hundredth, most)
+	return p.report, nil
+}
+
+// fault plays the next of the faults that are drawn from, on a controller that is up.
+func (p *play) fault() error {
+	var up []int
+	for i, one := range p.instances {
+		if one.up {
+			up = append(up, i)
+		}
+	}
+	if len(up) < 2 {
+		return nil // one is left to serve
+	}
+	kinds := strings.Split(cmp.Or(p.Faults, "kill"), ",")
+	kind, at := kinds[p.random.IntN(len(kinds))], up[p.random.IntN(len(up))]
+	one := p.instances[at]
+	p.faults[kind]++
+	p.say("%s %s", kind, one.name)
+	switch kind {
+	case "kill", "leave":
+		one.signal(map[string]syscall.Signal{"kill": syscall.SIGKILL, "leave": syscall.SIGTERM}[kind])
+		wait := time.Duration(p.random.Int64N(int64(min(p.KillEvery/2, 8*time.Second))))
+		if p.random.IntN(4) == 0 {
+			wait = min(wait, time.Second)
+		}
+		p.later(wait, one.start)
+	case "freeze":
+		one.up = false // for other faults
+		one.cmd.Process.Signal(syscall.SIGSTOP)
+		p.later(min(frozenFor, p.KillEvery/2), func() error {
+			one.up = true
+			return one.cmd.Process.Signal(syscall.SIGCONT)
+		})
+	case "cut":
+		for pair, wire := range p.between {
+			if pair[0] == at || pair[1] == at {
+				wire.Set(standin.Cut)
+				p.later(min(cutFor, p.KillEvery/2), func() error { wire.Set(standin.Fault{}); return nil })
+			}
+		}
+	default:
+		return fmt.Errorf("fault %q; there are kill, leave, freeze and cut", kind)
+	}
+	return nil
+}
+
+// hang has a worker take everything and answer nothing for a while, and notes when nine in ten relays had left it.
+func (p *play) hang(left *[]time.Duration) {
+	w, began := p.in.Workers[p.random.IntN(len(p.in.Workers))], time.Now()
+	w.Set(standin.Hangs)
+	p.report.Hangs++
+	p.say("%s hangs", w.ID)
+	noted := false
+	var look func() error
+	look = func() error {
+		switch since := time.Since(began); {
+		case !noted && p.in.Holding(w.ID) <= p.Relays/10:
+			noted = true
+			*left = append(*left, since)
+		case since >= hangFor:
+			if !noted {
+				*left = append(*left, since)
+			}
+			w.Set(standin.Serves)
+			return nil
+		}
+		p.later(50*time.Millisecond, look)
+		return nil
+	}
+	p.later(0, look)
+}
+
+func (p *play) say(format string, args ...any) {
+	if p.Progress != nil {
+		p.Progress(fmt.Sprintf(format, args...))
+	}
+}
+
+func (p *play) sum(v rules.Verdict, before, after standin.Counts, left []time.Duration) {
+	r := p.report
+	r.Faults, r.Effects, r.Messages = p.faults, v.Effects, v.Most
+	r.Breaches, r.Broken, r.BareMost = v.Breaches, v.Counts, v.Longest.Seconds()
+	r.Fulfilled = (after.Served - before.Served) / max(after.Asked-before.Asked, 1)
+	r.Came, r.Lost, r.Refused = after.Came-before.Came, after.Lost-before.Lost, after.Refused-before.Refused
+	r.Takeovers, r.Stale = after.Streams-before.Streams, after.Refusals-before.Refusals
+	r.Lines, r.Orders = after.Lines-before.Lines, after.Orders-before.Orders
+	r.JoinLines = float64(after.JoinLines-before.JoinLines) / float64(max(r.Takeovers, 1))
+	r.IntoHang = after.IntoHang - before.IntoHang
+	for _, l := range left {
+		r.LeaveMean += l.Seconds() / float64(len(left))
+		r.LeaveMost = max(r.LeaveMost, l.Seconds())
+	}
+}
+
+// judge settles the verdict: a machine that was too busy shows nothing, for or against.
+func (p *play) judge(v rules.Verdict, hundredth, most time.Duration) {
+	r := p.report
+	r.TurnsLate, r.LatestTurn = float64(hundredth.Microseconds())/1000, float64(most.Microseconds())/1000
+	switch {
+	case hundredth > tooLate:
+		r.Verdict, r.Why = Unjudged, fmt.Sprintf("one turn in a hundred was over %s late; leave the machine more room", tooLate)
+	case len(v.Breaches) > 0:
+		r.Verdict = Broken
+	case r.Takeovers == 0 || r.Effects == 0:
+		r.Verdict, r.Why = Unjudged, "no relay was taken over, or nothing took effect; play it for longer"
+	default:
+		r.Verdict = Kept
+	}
+}
--- /dev/null
+++ b/rules/account.go
@@ -0,0 +1,240 @@
+// Package rules judges the five rules, and the order of owners, over an account of what really happened: who was told
+// what when, which worker was tried, what took effect. It knows nothing of how controllers decide.
+package rules
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Limits are the figures of an installation that are judged by.
+type Limits struct {
+	Bare      time.Duration // that a joined relay may lack a line for a class while a ready, warm worker is listed
+	Grace     time.Duration // in which a worker that drains or is gone has to be left
+	Messages  int           // to one relay within Span, by all controllers together; 0 for no limit
+	Span      time.Duration
+	LinesPerS float64 // that leave one controller, with a backlog of Backlog
+	Backlog   float64
+	Margin    time.Duration // beyond each time, for what a busy machine adds to what it measures
+}
+
+// Breach is one broken rule.
+type Breach struct {
+	Rule  int // 1 to 5; 6 is an order of an owner that is over
+	At    time.Duration
+	Whose string // the relay, worker or effect
+	Text  string
+}
+
+// Account is what happened, on one clock that begins at 0. All methods may be called from anywhere.
+type Account struct {
+	limits Limits
+	mutex  sync.Mutex
+
+	breaches []Breach
+	counts   map[string]int
+	relays   map[int]*relay
+	workers  map[string]*worker
+	effects  map[string]time.Duration
+	sent     map[string]*bucket
+	longest  time.Duration // that any relay was bare
+	most     int           // messages to one relay within the span
+}
+
+// breachesKept of them are kept with their words.
+const breachesKept = 100
+
+type relay struct {
+	joined   bool
+	bare     map[string]time.Duration // since when, by class
+	told     map[string]bool          // of the bare spell that it was counted as a breach
+	messages []time.Duration
+	token    uint64
+	over     bool // of its messages: it was told as a breach
+}
+
+type worker struct {
+	ready, warm bool
+	leave       time.Duration // by when it has to be left; 0 while it has not
+	fell        bool
+}
+
+// bucket follows what waits in a controller's channel.
+type bucket struct {
+	at    time.Duration
+	lines float64
+}
+
+// NewAccount opens an account.
+func NewAccount(limits Limits) *Account {
+	return &Account{limits: limits, counts: map[string]int{}, relays: map[int]*relay{}, workers: map[string]*worker{},
+		effects: map[string]time.Duration{}, sent: map[string]*bucket{}}
+}
+
+func (a *Account) breach(rule int, at time.Duration, whose, format string, args ...any) {
+	a.counts[fmt.Sprint("rule ", rule)]++
+	if len(a.breaches) < breachesKept { // the first say enough, and an account has an end
+		a.breaches = append(a.breaches, Breach{rule, at, whose, fmt.Sprintf(format, args...)})
+	}
+}
+
+func (a *Account) relay(id int) *relay {
+	if a.relays[id] == nil {
+		a.relays[id] = &relay{bare: map[string]time.Duration{}, told: map[string]bool{}}
+	}
+	return a.relays[id]
+}
+
+// Listed: discovery has told every controller of a worker's state. Left has to be by now and the grace.
+func (a *Account) Listed(id string, ready, warm bool, at time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	w := a.workers[id]
+	if w == nil {
+		w = &worker{}
+		a.workers[id] = w
+	}
+	if w.ready, w.warm = ready, warm; ready {
+		w.leave = 0
+	} else if w.leave == 0 {
+		w.leave = at + a.limits.Grace + a.limits.Margin
+	}
+}
+
+// Joined: a relay has a stream to some controller, or has lost it. Its time without a line counts while it has one.
+func (a *Account) Joined(id int, joined bool, lacks []string, at time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	r := a.relay(id)
+	if r.joined = joined; !joined {
+		clear(r.bare)
+		clear(r.told)
+		return
+	}
+	for _, class := range lacks {
+		r.bare[class] = at
+	}
+}
+
+// Has: from now on a relay has a line for a class that it can pick, or has none.
+func (a *Account) Has(id int, class string, any bool, at time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	r := a.relay(id)
+	since, bare := r.bare[class]
+	switch {
+	case any && bare:
+		a.bare(id, class, since, at)
+		delete(r.bare, class)
+		delete(r.told, class)
+	case !any && !bare && r.joined:
+		r.bare[class] = at
+	}
+}
+
+// bare judges rule 1 for a spell that has lasted until now.
+func (a *Account) bare(id int, class string, since, at time.Duration) {
+	warm := slices.ContainsFunc(a.sorted(), func(w *worker) bool { return w.ready && w.warm })
+	if !warm {
+		return
+	}
+	a.longest = max(a.longest, at-since)
+	if r := a.relay(id); at-since > a.limits.Bare+a.limits.Margin && !r.told[class] {
+		r.told[class] = true
+		a.breach(1, at, fmt.Sprint("relay ", id), "no line for %s since %s", class, since.Round(time.Millisecond))
+	}
+}
+
+func (a *Account) sorted() (all []*worker) {
+	for _, w := range a.workers {
+		all = append(all, w)
+	}
+	return all
+}
+
+// Took: a piece of work took effect at a worker. Its key is its own; the same key again is rule 2.
+func (a *Account) Took(key string, at time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if first, twice := a.effects[key]; twice {
+		a.breach(2, at, key, "took effect at %s already", first.Round(time.Millisecond))
+		return
+	}
+	a.effects[key] = at
+}
+
+// Tried: a relay sends a worker something now, by its table.
+func (a *Account) Tried(id string, by int, at time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if w := a.workers[id]; w != nil && w.leave > 0 && at > w.leave {
+		a.breach(3, at, fmt.Sprint("relay ", by), "sent to %s, which was to be left by %s", id, w.leave.Round(time.Millisecond))
+	}
+}
+
+// Fell: a cold worker was pushed over.
+func (a *Account) Fell(id string, at time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if w := a.workers[id]; w != nil && !w.fell {
+		w.fell = true
+		a.breach(4, at, id, "pushed over while it was cold")
+	}
+}
+
+// Told: a message of some lines from a controller was applied at a relay; a token of 0 is none.
+func (a *Account) Told(by string, id int, lines int, token uint64, at time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	r := a.relay(id)
+	if token > 0 && token < r.token {
+		a.breach(6, at, fmt.Sprint("relay ", id), "applied an order of %s by token %d after %d", by, token, r.token)
+	}
+	r.token = max(r.token, token)
+	if a.limits.Messages > 0 {
+		r.messages = slices.DeleteFunc(r.messages, func(t time.Duration) bool { return t <= at-a.limits.Span })
+		r.messages = append(r.messages, at)
+		a.most = max(a.most, len(r.messages))
+		if over := len(r.messages) > a.limits.Messages; over && !r.over {
+			a.breach(5, at, fmt.Sprint("relay ", id), "%d messages within %s", len(r.messages), a.limits.Span)
+		}
+		r.over = len(r.messages) > a.limits.Messages
+	}
+	b := a.sent[by]
+	if b == nil {
+		b = &bucket{at: at}
+		a.sent[by] = b
+	}
+	b.lines = max(0, b.lines-(at-b.at).Seconds()*a.limits.LinesPerS) + float64(lines)
+	if b.at = at; a.limits.LinesPerS > 0 && b.lines > a.limits.Backlog {
+		a.breach(5, at, by, "%.0f lines in its channel, %.0f at most", b.lines, a.limits.Backlog)
+		b.lines = 0
+	}
+}
+
+// Verdict is what an account shows.
+type Verdict struct {
+	Breaches []Breach
+	Counts   map[string]int // by rule, for breaches that are too many to keep
+	Effects  int
+	Longest  time.Duration // that a joined relay lacked a line
+	Most     int           // messages to a relay within the span
+}
+
+// Judge closes the account: spells that last are judged as they stand.
+func (a *Account) Judge(at time.Duration) Verdict {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for id, r := range a.relays {
+		for class, since := range r.bare {
+			a.bare(id, class, since, at)
+		}
+	}
+	slices.SortFunc(a.breaches, func(x, y Breach) int {
+		return cmp.Or(cmp.Compare(x.At, y.At), cmp.Compare(x.Rule, y.Rule), cmp.Compare(x.Whose, y.Whose))
+	})
+	return Verdict{a.breaches, a.counts, len(a.effects), a.longest, a.most}
+}
