Three owners' messages fit into a span; evidence of others adds to our own unanswered tries

Seen: in a rehearsal with a kill every 6 s a hung worker was left after 5.0 s in the mean (8.0 at most) with sharing, 2.7 without: a proxy with two owners before it had 9 of 11 messages spent, and decide's ledger.open holds an ordinary change up for all as long as one bound proxy may not be sent it. Ruled out: late reports and looks (decisions stood 3 s after the hang in both). Change: shares for three owners in place of two; such a proxy may use what is kept for what is urgent (decide ledger.may); others' unanswered tries count beside ours when our last ones had no answer either, and a withdrawal is told at once. The stand-in's channel sends its lines a second, as the platform's does: marks came back before their lines could have left, and rule 5 seemed broken.

--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -145,7 +145,7 @@
 			f.desk.Spoke(node, j.peer.heard.Load(), now)
 		}
 	}
-	if now-f.toldAt >= toldEvery {
+	if now-f.toldAt >= toldEvery || f.turned() {
 		f.toldAt = now
 		f.tell()
 	}
@@ -261,6 +261,16 @@
 	s.Tries, s.Failed, s.Span = s.Tries+tries, s.Failed+failed, max(s.Span, span)
 }
 
+// turned tells whether a backend was withdrawn here, or is back, since the others were told.
+func (f *fleet) turned() bool {
+	for backend, id := range f.module.backends.ids {
+		if _, _, away := f.module.control.Withdrawn(backend); id != "" && away != f.away[backend] {
+			return true
+		}
+	}
+	return false
+}
+
 // tell puts on the record what our proxies met, and which backends are withdrawn here.
 func (f *fleet) tell() {
 	var seen []share.Seen
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -238,14 +238,14 @@
 	}
 }
 
-// Learned is what proxies of another controller met of late: judged like what ours meet while they meet nothing.
+// Learned is what proxies of another controller met: it counts where ours met nothing, or no answer either.
 func (c *Controller) Learned(id, tries, failed int, mean int64) {
 	if id >= len(c.backends) || tries <= 0 {
 		return
 	}
 	now, b := c.host.Now(), c.backends[id]
 	b.others = append(b.others, sample{now, now, mean * int64(tries-failed), tries, failed})
-	if b.tally(now); !b.elsewhere {
+	if b.tally(now); !b.elsewhere && (b.unheard == 0 || failed < tries) {
 		return
 	} else if b.unheard += tries; failed < tries {
 		b.answered, b.unheard = now, 0
@@ -522,7 +522,7 @@
 				}
 				lines, cost, bare = lines+n, cost+n+1, bare || n == 0
 			})
-			ready := p.joined && !c.pressed && !bare && c.channel.fits(cost, false) && c.channel.may(p, now, p.cramped)
+			ready := p.joined && !c.pressed && !bare && c.channel.fits(cost, false) && c.channel.may(p, now, false)
 			switch {
 			case ready && !p.bound:
 				p.bound, bound = true, bound+1
@@ -981,7 +981,7 @@
 	if l.MessagesMost == 0 || len(p.sent) > 0 && p.sent[len(p.sent)-1] == now {
 		return true
 	}
-	return len(p.sent) < l.MessagesMost/2 || urgent && len(p.sent) < l.MessagesMost
+	return len(p.sent) < l.MessagesMost/2 || (urgent || p.cramped) && len(p.sent) < l.MessagesMost
 }
 
 // open tells whether changes may go to all bound proxies now. Needed ones wait for each other as long as the
--- a/decide/state.go
+++ b/decide/state.go
@@ -80,6 +80,9 @@
 
 // Withdrawn tells whether a backend is out of R by what our own proxies met, and what that was as far as it is known.
 func (c *Controller) Withdrawn(id int) (tries, failed int, away bool) {
+	if id >= len(c.backends) {
+		return 0, 0, false
+	}
 	b := c.backends[id]
 	if b.unheard > 0 {
 		return b.unheard, b.unheard, b.away && !b.learnt
--- a/rehearse/takeover.go
+++ b/rehearse/takeover.go
@@ -137,6 +137,10 @@
 	}
 	p := &play{Takeover: t, in: in, folder: folder, random: rand.New(rand.NewPCG(t.Seed, 1)), faults: map[string]int{},
 		report: &Report{Scenario: "takeover", Seed: t.Seed, Sharing: t.Sharing, Instances: t.Instances, Relays: t.Relays, Folder: folder}}
+	if p.events, err = os.Create(filepath.Join(folder, "events.log")); err != nil {
+		in.Close()
+		return nil, err
+	}
 	defer p.end()
 	if err := p.set(addresses[:t.Instances], addresses[t.Instances:], classes); err != nil {
 		in.Close()
@@ -172,6 +176,7 @@
 	instances []*instance
 	between   map[[2]int]*standin.Wire // between members
 	folder    string
+	events    *os.File
 	random    *rand.Rand
 	faults    map[string]int
 	report    *Report
@@ -250,6 +255,7 @@
 }
 
 func (p *play) end() {
+	p.events.Close()
 	for _, i := range p.instances {
 		if i.up {
 			i.signal(syscall.SIGCONT)
@@ -328,7 +334,10 @@
 		if p.random.IntN(4) == 0 {
 			wait = min(wait, time.Second)
 		}
-		p.later(wait, one.start)
+		p.later(wait, func() error {
+			p.in.Restarted(at)
+			return one.start()
+		})
 	case "freeze":
 		one.up = false // for other faults
 		one.cmd.Process.Signal(syscall.SIGSTOP)
@@ -362,6 +371,7 @@
 		case !noted && p.in.Holding(w.ID) <= p.Relays/10:
 			noted = true
 			*left = append(*left, since)
+			p.say("%s is left", w.ID)
 		case since >= hangFor:
 			if !noted {
 				*left = append(*left, since)
@@ -375,7 +385,9 @@
 	p.later(0, look)
 }
 
+// say tells who watches, and notes it beside the controllers' logs.
 func (p *play) say(format string, args ...any) {
+	fmt.Fprintf(p.events, "time=%s event=rehearsal text=%q\n", time.Now().UTC().Format("15:04:05.000000"), fmt.Sprintf(format, args...))
 	if p.Progress != nil {
 		p.Progress(fmt.Sprintf(format, args...))
 	}
--- a/rules/account.go
+++ b/rules/account.go
@@ -185,8 +185,8 @@
 	}
 }
 
-// Told: a message of some lines from a controller was applied at a relay; a token of 0 is none.
-func (a *Account) Told(by string, id int, lines int, token uint64, at time.Duration) {
+// Applied: a relay has applied an order of a controller; a token of 0 is none.
+func (a *Account) Applied(by string, id int, token uint64, at time.Duration) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	r := a.relay(id)
@@ -194,6 +194,14 @@
 		a.breach(6, at, fmt.Sprint("relay ", id), "applied an order of %s by token %d after %d", by, token, r.token)
 	}
 	r.token = max(r.token, token)
+}
+
+// Entered: a message of some lines for a relay enters a controller's channel. By names a life of the controller: another
+// process has a channel of its own.
+func (a *Account) Entered(by string, id int, lines int, at time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	r := a.relay(id)
 	if a.limits.Messages > 0 {
 		r.messages = slices.DeleteFunc(r.messages, func(t time.Duration) bool { return t <= at-a.limits.Span })
 		r.messages = append(r.messages, at)
--- a/share/book.go
+++ b/share/book.go
@@ -132,7 +132,7 @@
 	mostOut  = 256 // lines taken out that a table remembers ...
 	leastOut = 128 // ... and how many are left once there are more
 
-	movesKept = 2 // of a proxy: two owners before this one leave it no share of theirs
+	movesKept = 2 // owners before the present one for whose messages there is room within the span
 )
 
 // NewBook makes an empty record.
@@ -245,7 +245,7 @@
 	m := Move{Proxy: proxy, From: from, To: Holding{Owner: e.Member, Life: e.Life, Token: b.Token}}
 	if from.Owner != "" {
 		m.To.Moves = append(slices.Clone(from.Moves), e.Stamp)
-		m.To.Moves = m.To.Moves[max(0, len(m.To.Moves)-movesKept):]
+		m.To.Moves = m.To.Moves[max(0, len(m.To.Moves)-movesKept-1):]
 	}
 	last := b.Lives[from.Life]
 	sure := func(id uint64) bool {
--- a/share/desk.go
+++ b/share/desk.go
@@ -35,11 +35,11 @@
 
 // Stray is what each member may write to a proxy within the span without owning it by the record; a member that starts
 // anew, or gets the proxy back, has forgotten what it wrote of that, so it counts twice. Own is what an owner may write
-// beyond it: while a proxy moves, two owners' shares count. All together stay within the limit.
+// beyond it: the shares of the owners before count until the span has passed. All together stay within the limit.
 func (t Terms) Stray() int { return t.Messages / 4 / max(t.Members, 1) }
 
 // Own is an owner's further share.
-func (t Terms) Own() int { return (t.Messages - 2*t.Members*t.Stray()) / 2 }
+func (t Terms) Own() int { return (t.Messages - 2*t.Members*t.Stray()) / (movesKept + 1) }
 
 // Desk is one member at work on the record.
 type Desk struct {
@@ -396,7 +396,7 @@
 			d.tell(m.Proxy, p)
 			return
 		}
-		spent := d.terms.Own() * min(1, standing/2) // one former owner's share is laid aside, a second one's is ours
+		spent := d.terms.Own() * (standing / (movesKept + 1)) // shares are laid aside for owners before, not for more
 		d.grant(m.Proxy, m, spent, now)
 	case p.owned && m.To.Token > p.token:
 		p.owned, p.token, p.disowned = false, 0, now
--- a/standin/installation.go
+++ b/standin/installation.go
@@ -33,6 +33,7 @@
 	reports     time.Duration
 	began       time.Time
 	controllers []*Wire
+	channels    []*channel // by controller
 	relays      []*Relay
 	collectors  map[string][]*collector // by zone and controller
 	seed        uint64
@@ -56,6 +57,7 @@
 			return nil, err
 		}
 		in.controllers = append(in.controllers, wire)
+		in.channels = append(in.channels, &channel{in: in, of: len(in.channels), lines: limits.LinesPerS})
 	}
 	for i := range p.Workers {
 		w := &Worker{ID: fmt.Sprintf("w-%02d", i), Zone: p.Zones[i%len(p.Zones)], Weight: 1, Cores: p.Cores, Service: p.Service,
@@ -83,6 +85,15 @@
 // Clock is the time since the installation was set up, as its account has it.
 func (in *Installation) Clock() time.Duration { return time.Since(in.began) }
 
+// Restarted: a controller's process is another from now on, and so is its channel.
+func (in *Installation) Restarted(controller int) {
+	c := in.channels[controller]
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.life++
+	c.free = 0
+}
+
 // Wire is the way to a controller.
 func (in *Installation) Wire(controller int) *Wire { return in.controllers[controller] }
 
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -197,7 +197,11 @@
 		if p.More {
 			continue
 		}
-		time.Sleep(time.Duration(size) * perLine)
+		wait := r.in.channels[at].enter(r.node, size+perMessage) + time.Duration(size)*perLine
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
 		if err := r.apply(parts, size, at, time.Since(began) < joinSpell); err != nil {
 			break
 		}
@@ -323,7 +327,7 @@
 		r.counts.JoinLines += size
 	}
 	now := r.in.Clock()
-	r.in.account.Told(fmt.Sprint("controller ", at), r.node, size+perMessage, token, now)
+	r.in.account.Applied(fmt.Sprint("controller ", at), r.node, token, now)
 	for i, c := range r.in.classes {
 		r.in.account.Has(r.node, c.Name, r.has(i), now)
 	}
