Shared besides: demand, back-offs, what the fleet can do; membership, deltas and evidence are pure

Need: a member that takes over learned what stood withdrawn, but not for how long, nor what comes to a proxy, nor what the fleet was seen to do, so a release found it without a cap; and decisions on membership and deltas stood among sockets.

--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -25,7 +25,6 @@
 const (
 	usualLease = 3 * second / 2
 	leaseParts = 8       // an entry is proposed this often in a lease at least
-	toldEvery  = second  // what our proxies met is told to the others
 	uncounted  = 1 << 20 // messages that may go to a proxy where no setting limits them
 )
 
@@ -46,8 +45,7 @@
 	if terms.Messages == 0 {
 		terms.Messages = uncounted
 	}
-	f := &fleet{module: m, pending: map[int]arrival{}, seen: map[int]*share.Seen{}, away: map[int]bool{},
-		terms: terms}
+	f := &fleet{module: m, pending: map[int]arrival{}, evidence: share.NewEvidence(), terms: terms}
 	var err error
 	if f.node, err = replica.New(replica.Place{Name: with.Name, Members: with.Members, Folder: with.Folder,
 		Credentials: with.Credentials, Terms: terms}, record{m, f}, c.log.to); err != nil {
@@ -96,9 +94,7 @@
 	pending  map[int]arrival // proxies that joined and are not granted yet
 	held     []leaving       // in their order
 	released uint64
-	seen     map[int]*share.Seen // by backend, what our proxies met since it was last told
-	away     map[int]bool        // withdrawn, as last told
-	toldAt   int64
+	evidence *share.Evidence
 }
 
 // arrival is what the decisions are told of a proxy once it is granted.
@@ -145,10 +141,7 @@
 			f.desk.Spoke(node, j.peer.heard.Load(), now)
 		}
 	}
-	if now-f.toldAt >= toldEvery || f.turned() {
-		f.toldAt = now
-		f.tell()
-	}
+	f.tell(now)
 	f.module.After(f.terms.Renew/2, deskTag)
 }
 
@@ -162,12 +155,13 @@
 func (f *fleet) leaves(node int) bool {
 	_, waits := f.pending[node]
 	delete(f.pending, node)
+	f.evidence.Leaves(node)
 	f.desk.Left(node)
 	return !waits
 }
 
 // Granted gives a proxy to the decisions.
-func (f *fleet) Granted(node int, token uint64, base []share.Base, clean bool, spent int) {
+func (f *fleet) Granted(node int, token uint64, base []share.Base, clean bool, came []float64, spent int) {
 	a, ok := f.pending[node]
 	if !ok {
 		return
@@ -185,8 +179,12 @@
 		"spent", spent)
 	f.module.control.Spent(node, spent)
 	f.module.control.Joined(node, a.zone, a.usual, a.keeps)
+	f.module.control.Demands(node, came)
 }
 
+// Fitted hands on what another member saw the fleet do.
+func (f *fleet) Fitted(fit share.Fit) { f.module.control.Fits(fit.Proven, fit.Able) }
+
 // Spent has the decisions write less to a proxy.
 func (f *fleet) Spent(node, messages int) { f.module.control.Spent(node, messages) }
 
@@ -248,61 +246,23 @@
 	}
 }
 
-// met notes what our proxies met, for the others.
-func (f *fleet) met(backend, tries, failed int, mean, span int64) {
-	s := f.seen[backend]
-	if s == nil {
-		s = &share.Seen{}
-		f.seen[backend] = s
-	}
-	if answered := int64(s.Tries - s.Failed + tries - failed); answered > 0 {
-		s.Mean = (s.Mean*int64(s.Tries-s.Failed) + mean*int64(tries-failed)) / answered
-	}
-	s.Tries, s.Failed, s.Span = s.Tries+tries, s.Failed+failed, max(s.Span, span)
-}
-
-// turned tells whether a backend was withdrawn here, or is back, since the others were told.
-func (f *fleet) turned() bool {
+// tell puts on the record what our proxies met, which backends are withdrawn here, and what comes to whom.
+func (f *fleet) tell(now int64) {
 	for backend, id := range f.module.backends.ids {
-		if _, _, away := f.module.control.Withdrawn(backend); id != "" && away != f.away[backend] {
-			return true
+		if id != "" {
+			tries, failed, wait, away := f.module.control.Withdrawn(backend)
+			f.evidence.Away(id, away, tries, failed, wait)
 		}
 	}
-	return false
-}
-
-// tell puts on the record what our proxies met, and which backends are withdrawn here.
-func (f *fleet) tell() {
-	var seen []share.Seen
-	for backend, id := range f.module.backends.ids {
-		if id == "" {
-			delete(f.away, backend)
-			continue
-		}
-		s := f.seen[backend]
-		tries, failed, away := f.module.control.Withdrawn(backend)
-		if s == nil && away == f.away[backend] {
-			continue
-		}
-		if s == nil {
-			s = &share.Seen{}
-		}
-		if away {
-			s.Tries, s.Failed, s.Mean = max(tries, 1), max(failed, 1), 0
-		}
-		s.Backend, s.Away, f.away[backend] = id, away, away
-		seen = append(seen, *s)
-	}
-	f.seen = map[int]*share.Seen{}
-	if len(seen) > 0 {
-		f.desk.Met(seen)
-	}
+	proven, able := f.module.control.Ability()
+	f.evidence.Fits(share.Fit{Proven: proven, Able: able})
+	f.desk.Tell(f.evidence, now)
 }
 
 // Learned hands on what another member's proxies met.
 func (f *fleet) Learned(_ string, s share.Seen) {
 	if backend, ok := f.module.backends.index[s.Backend]; ok {
-		f.module.control.Learned(backend, s.Tries, s.Failed, s.Mean)
+		f.module.control.Learned(backend, s.Tries, s.Failed, s.Mean, s.Wait)
 	}
 }
 
--- a/controller/module.go
+++ b/controller/module.go
@@ -165,7 +165,11 @@
 // forget ends what is kept of backends that are gone for long. Nothing on its way names them by their index.
 func (m *module) forget() {
 	many := m.backends.sweep(m.now, m.limits.gone, func(backend int) bool {
-		return m.tables.forget(backend, func() bool { return m.control.Forget(backend) })
+		gone := m.tables.forget(backend, func() bool { return m.control.Forget(backend) })
+		if gone && m.fleet != nil {
+			m.fleet.evidence.Forget(m.backends.ids[backend])
+		}
+		return gone
 	})
 	if many > 0 {
 		m.log.say("forgotten", "backends", many, "kept", len(m.backends.index))
@@ -371,12 +375,15 @@
 	}
 	m.control.Heard(backend, tries, failed, mean, span, load)
 	if m.fleet != nil {
-		m.fleet.met(backend, tries, failed, mean, span)
+		m.fleet.evidence.Met(id, tries, failed, mean, span)
 	}
 }
 
 func (m *module) came(node, class, count int, span int64) {
 	if node < len(m.joins) && m.joins[node] != nil && !m.at(node).waits {
 		m.control.Came(node, class, count, span)
+		if m.fleet != nil {
+			m.fleet.evidence.Comes(node, class, count, span)
+		}
 	}
 }
--- a/controller/tables.go
+++ b/controller/tables.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"maps"
 	"math"
 	"slices"
 
@@ -330,8 +329,8 @@
 	return lines
 }
 
-// differing encodes the lines of a table that a proxy lacks, or may lack, by what it surely has. It is no way to write
-// less where that takes as many lines as the whole table, with the levels that only a whole table has it forget.
+// differing encodes the lines of a table that a proxy lacks, or may lack, by what it surely has, where that is less than
+// the whole table.
 func (t *tables) differing(s *stream, in *table, due uint16) (lines [][]byte, ok bool) {
 	if s.base == nil {
 		return nil, false
@@ -342,29 +341,13 @@
 			want[string(t.name(b))] = weight
 		}
 	}
-	differ := map[string]bool{}
-	for class, has := range s.base {
-		if due&(1<<class) == 0 {
-			continue
-		}
-		for id := range has.Doubt {
-			differ[id] = true
-		}
-		for id, weight := range want {
-			differ[id] = differ[id] || has.Lines[id] != weight
-		}
-		for id := range has.Lines {
-			differ[id] = differ[id] || want[id] == 0
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(differ)) {
-		if differ[id] {
-			lines = append(lines, line([]byte(id), want[id]))
-		}
-	}
-	if len(lines)+len(t.classes) > len(want)+1 {
+	differ, ok := share.Delta(s.base, func(class int) bool { return due&(1<<class) != 0 }, want)
+	if !ok {
 		return nil, false
 	}
+	for _, l := range differ {
+		lines = append(lines, line([]byte(l.Backend), l.Weight))
+	}
 	for class := range s.levels { // it may have any: each is written anew, as where a table of ours is whole it has none
 		if due&(1<<class) != 0 {
 			s.levels[class] = level{set: true, allowance: -1}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -239,7 +239,7 @@
 }
 
 // Learned is what proxies of another controller met: it counts where ours met nothing, or no answer either.
-func (c *Controller) Learned(id, tries, failed int, mean int64) {
+func (c *Controller) Learned(id, tries, failed int, mean, wait int64) {
 	if id >= len(c.backends) || tries <= 0 {
 		return
 	}
@@ -250,7 +250,7 @@
 	} else if b.unheard += tries; failed < tries {
 		b.answered, b.unheard = now, 0
 	}
-	if b.unheard >= provenSilent {
+	if b.backoff = max(b.backoff, wait/2); b.unheard >= provenSilent { // where it leaves R, for as long as there
 		c.judge(now)
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -2,7 +2,10 @@
 
 // This file holds what is kept of backends, proxies and orders, and sums over it. Nothing is decided here.
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // backend is all that is known of one backend.
 type backend struct {
@@ -79,15 +82,29 @@
 }
 
 // Withdrawn tells whether a backend is out of R by what our own proxies met, and what that was as far as it is known.
-func (c *Controller) Withdrawn(id int) (tries, failed int, away bool) {
+// Wait is its back-off, in microseconds.
+func (c *Controller) Withdrawn(id int) (tries, failed int, wait int64, away bool) {
 	if id >= len(c.backends) {
-		return 0, 0, false
+		return 0, 0, 0, false
 	}
 	b := c.backends[id]
 	if b.unheard > 0 {
-		return b.unheard, b.unheard, b.away && !b.learnt
+		return b.unheard, b.unheard, b.backoff, b.away && !b.learnt
 	}
-	return b.tries, b.failed, b.away && !b.learnt
+	return b.tries, b.failed, b.backoff, b.away && !b.learnt
+}
+
+// Ability is what the fleet was seen to do for each unit of weight and of ordinary traffic: without a queue, and with
+// one; 0 if that is not known.
+func (c *Controller) Ability() (proven, able float64) { return c.levels.proven, c.levels.able }
+
+// Demands takes what another controller counted at a proxy that joined us, exchanges a second by class.
+func (c *Controller) Demands(id int, rates []float64) { copy(c.proxies[id].rates, rates) }
+
+// Fits takes what another controller saw of that, in place of what we have not seen ourselves.
+func (c *Controller) Fits(proven, able float64) {
+	a := &c.levels
+	a.proven, a.able = cmp.Or(a.proven, max(proven, 0)), cmp.Or(a.able, max(able, 0))
 }
 
 // Spent: so many of the messages that may go to a proxy within the span others have sent, or will have. It counts for
--- a/replica/node.go
+++ b/replica/node.go
@@ -4,7 +4,6 @@
 package replica
 
 import (
-	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -50,7 +49,6 @@
 	leaderLease = 300 * time.Millisecond
 	applyWithin = 500 * time.Millisecond
 	lookAgain   = 200 * time.Millisecond
-	lostFor     = 25                 // looks without a leader, all others come as new: nobody will be one again
 	snapshotAt  = 4096               // entries
 	trailing    = 1024               // entries that are kept beyond a snapshot, for who lags a little
 	quietFor    = 10 * time.Second   // between two lines that tell the record's cost
@@ -329,16 +327,19 @@
 	if err := f.Error(); err != nil {
 		return answer{Why: err.Error()}
 	}
+	var ids []string
 	for _, server := range f.Configuration().Servers {
-		if string(server.ID) == id {
-			return answer{Stands: true}
-		}
-		if nameOf(server.ID) == name {
-			if err := r.RemoveServer(server.ID, 0, applyWithin).Error(); err != nil {
-				return answer{Why: err.Error()}
-			}
+		ids = append(ids, string(server.ID))
+	}
+	leave, in := share.Admit(ids, id, func(id string) string { return nameOf(raft.ServerID(id)) })
+	for _, other := range leave {
+		if err := r.RemoveServer(raft.ServerID(other), 0, applyWithin).Error(); err != nil {
+			return answer{Why: err.Error()}
 		}
 	}
+	if in {
+		return answer{Stands: true}
+	}
 	if err := r.AddVoter(raft.ServerID(id), addressOf(name, id), 0, applyWithin).Error(); err != nil {
 		return answer{Why: err.Error()}
 	}
@@ -417,41 +418,35 @@
 	})
 }
 
-// join looks for a record to be part of. One is founded where all members are there and all are new, by the first by
-// name. It is true where ours can never have a leader again: all others have come as new, so that nobody is left who
-// could vote with us, and we must come as new as well.
-func (n *Node) join(ctx context.Context, r *raft.Raft, looks int) (forsaken bool) {
-	names := slices.Sorted(maps.Keys(n.place.Members))
-	ids, found := map[string]string{n.place.Name: n.ID()}, ""
-	for _, name := range names {
+// join takes the next step to be part of a record; it is true where we have to come as new.
+func (n *Node) join(ctx context.Context, r *raft.Raft, looks int) (anew bool) {
+	others := map[string]share.Met{}
+	for name := range n.place.Members {
 		if name == n.place.Name {
 			continue
 		}
-		a, err := n.ask(ctx, name, call{Who: true})
-		if err != nil {
-			continue
-		}
-		ids[name] = a.ID
-		if a.Part {
-			found = cmp.Or(a.Leader, found, name)
+		if a, err := n.ask(ctx, name, call{Who: true}); err == nil {
+			others[name] = share.Met{ID: a.ID, Part: a.Part, Leader: a.Leader}
 		}
 	}
+	_, leader := r.LeaderWithID()
 	f := r.GetConfiguration()
-	part := f.Error() == nil && len(f.Configuration().Servers) > 0
-	switch {
-	case found != "" && !n.within(r):
-		if a, err := n.ask(ctx, found, call{Name: n.place.Name, ID: n.ID()}); err == nil && !a.Stands {
-			n.log.Debug("join", "at", found, "why", a.Why)
+	own := share.Own{Name: n.place.Name, ID: n.ID(), Part: f.Error() == nil && len(f.Configuration().Servers) > 0, Within: n.within(r),
+		Led: leader != "", Durable: n.place.Folder != "", Leaderless: looks}
+	switch step := share.Belong(own, slices.Collect(maps.Keys(n.place.Members)), others); step.Do {
+	case share.Join:
+		if a, err := n.ask(ctx, step.Ask, call{Name: n.place.Name, ID: n.ID()}); err == nil && !a.Stands {
+			n.log.Debug("join", "at", step.Ask, "why", a.Why)
 		}
-	case found == "" && len(ids) == len(names) && !part && names[0] == n.place.Name:
+	case share.Found:
 		var servers []raft.Server
-		for _, name := range names {
-			servers = append(servers, raft.Server{ID: raft.ServerID(ids[name]), Address: addressOf(name, ids[name])})
+		for _, name := range slices.Sorted(maps.Keys(step.IDs)) {
+			servers = append(servers, raft.Server{ID: raft.ServerID(step.IDs[name]), Address: addressOf(name, step.IDs[name])})
 		}
 		if err := r.BootstrapCluster(raft.Configuration{Servers: servers}).Error(); err == nil {
 			n.log.Info("founded", "members", len(servers))
 		}
-	case found == "" && len(ids) == len(names) && part && looks >= lostFor && n.place.Folder == "":
+	case share.Forget:
 		n.log.Info("record_lost", "text", "all others have come as new; so do we")
 		return true
 	}
--- a/share/book.go
+++ b/share/book.go
@@ -24,6 +24,8 @@
 	Laid    []Laid `cbor:"8,keyasint,omitempty"`
 	Told    []Told `cbor:"9,keyasint,omitempty"`
 	Seen    []Seen `cbor:"10,keyasint,omitempty"`
+	Came    []Came `cbor:"13,keyasint,omitempty"`
+	Fit     Fit    `cbor:"14,keyasint,omitempty"`
 	// Recorded is added by the leader: the lives that had surely written nothing off the record when this entry came to
 	// it. It names none before all members have entered.
 	Recorded []uint64 `cbor:"11,keyasint,omitempty"`
@@ -70,6 +72,7 @@
 	Mean    int64  `cbor:"4,keyasint"` // µs that an answer took
 	Span    int64  `cbor:"5,keyasint"` // µs that it covers
 	Away    bool   `cbor:"6,keyasint,omitempty"`
+	Wait    int64  `cbor:"7,keyasint,omitempty"` // µs that it is withdrawn for
 }
 
 // Book is the record.
@@ -79,6 +82,8 @@
 	Lives   map[uint64]*Life           `cbor:"3,keyasint"`
 	Proxies map[int]Holding            `cbor:"4,keyasint"`
 	Away    map[string]map[string]Seen `cbor:"5,keyasint"` // by backend and member
+	Came    map[int][]float64          `cbor:"6,keyasint"` // exchanges a second by proxy and class
+	Fits    map[string]Fit             `cbor:"7,keyasint"` // by member
 }
 
 // Life is a member between its entering and its end.
@@ -124,8 +129,9 @@
 	Proxy    int
 	From, To Holding
 	Known    bool
-	Base     []Base // by class, if it is known
-	Clean    bool   // it is known besides that it shuts nothing out
+	Base     []Base    // by class, if it is known
+	Clean    bool      // it is known besides that it shuts nothing out
+	Came     []float64 // exchanges a second that came to it, by class, as last told
 }
 
 const (
@@ -138,7 +144,7 @@
 // NewBook makes an empty record.
 func NewBook() *Book {
 	return &Book{Members: map[string]uint64{}, Lives: map[uint64]*Life{}, Proxies: map[int]Holding{},
-		Away: map[string]map[string]Seen{}}
+		Away: map[string]map[string]Seen{}, Came: map[int][]float64{}, Fits: map[string]Fit{}}
 }
 
 // Take takes in the next entry. It is false for one that was taken in before, and for one of a life that is over: its
@@ -163,6 +169,12 @@
 	for _, s := range e.Seen {
 		b.see(e.Member, s)
 	}
+	for _, c := range e.Came {
+		b.Came[c.Proxy] = c.Rates
+	}
+	if e.Fit != (Fit{}) {
+		b.Fits[e.Member] = e.Fit
+	}
 	for _, proxy := range e.Claims {
 		moves = append(moves, b.claim(proxy, e))
 	}
@@ -247,6 +259,7 @@
 		m.To.Moves = append(slices.Clone(from.Moves), e.Stamp)
 		m.To.Moves = m.To.Moves[max(0, len(m.To.Moves)-movesKept-1):]
 	}
+	m.Came = b.Came[proxy]
 	last := b.Lives[from.Life]
 	sure := func(id uint64) bool {
 		return b.Lives[id] != nil && b.Lives[id].Closed || id == e.Life || slices.Contains(e.Recorded, id)
--- a/share/desk.go
+++ b/share/desk.go
@@ -11,7 +11,9 @@
 	Propose(Entry)
 	// Granted lets the decisions have a proxy that joined. What it surely has is known where there is a base; clean says
 	// that it shuts nothing out. So many of the messages that one owner may write to it are spent already.
-	Granted(proxy int, token uint64, base []Base, clean bool, spent int)
+	Granted(proxy int, token uint64, base []Base, clean bool, came []float64, spent int)
+	// Fitted is what another member saw the fleet do.
+	Fitted(f Fit)
 	// Spent takes messages away from what may be written to a proxy that was granted before.
 	Spent(proxy, messages int)
 	// Release lets what was ordered up to an edition leave.
@@ -214,8 +216,14 @@
 	d.next.Told = append(d.next.Told, told)
 }
 
-// Met is what our proxies met, to be told to the others.
-func (d *Desk) Met(seen []Seen) { d.next.Seen = append(d.next.Seen, seen...) }
+// Tell is what is due of our evidence, to be told to the others.
+func (d *Desk) Tell(v *Evidence, now int64) {
+	seen, came, fit := v.Due(now)
+	d.next.Seen, d.next.Came = append(d.next.Seen, seen...), append(d.next.Came, came...)
+	if fit != (Fit{}) {
+		d.next.Fit = fit
+	}
+}
 
 // Close gives all away at a planned end: from now on nothing is written to any proxy.
 func (d *Desk) Close(now int64) {
@@ -321,11 +329,19 @@
 		for _, s := range e.Seen {
 			d.host.Learned(e.Member, s)
 		}
+		if e.Fit != (Fit{}) {
+			d.host.Fitted(e.Fit)
+		}
 	}
 }
 
-// learnStanding tells what others have withdrawn, to one that has just come.
+// learnStanding tells what others have withdrawn, and what they saw the fleet do, to one that has just come.
 func (d *Desk) learnStanding() {
+	for _, member := range slices.Sorted(maps.Keys(d.book.Fits)) {
+		if member != d.name {
+			d.host.Fitted(d.book.Fits[member])
+		}
+	}
 	for _, id := range slices.Sorted(maps.Keys(d.book.Away)) {
 		for _, member := range slices.Sorted(maps.Keys(d.book.Away[id])) {
 			if member != d.name {
@@ -413,5 +429,5 @@
 	if d.strays[proxy] = append(recent, now); len(recent) > 1 {
 		spent += d.terms.Stray()
 	}
-	d.host.Granted(proxy, p.token, m.Base, m.Clean, spent)
+	d.host.Granted(proxy, p.token, m.Base, m.Clean, m.Came, spent)
 }
--- /dev/null
+++ b/share/evidence_test.go
@@ -0,0 +1,122 @@
+package share
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func TestEvidence(t *testing.T) {
+	t.Run("what was met is summed until it is told, once in a span", func(t *testing.T) {
+		v := NewEvidence()
+		v.Due(5_000_000)
+		v.Met("b", 10, 0, 100, 1000)
+		v.Met("b", 10, 5, 400, 2000)
+		if seen, _, _ := v.Due(5_500_000); seen != nil {
+			t.Errorf("told early: %+v", seen)
+		}
+		seen, _, _ := v.Due(6_000_000)
+		if want := []Seen{{Backend: "b", Tries: 20, Failed: 5, Mean: 200, Span: 2000}}; !slices.Equal(seen, want) {
+			t.Errorf("told %+v", seen)
+		}
+		if seen, _, _ := v.Due(7_000_000); seen != nil {
+			t.Errorf("told twice: %+v", seen)
+		}
+	})
+	t.Run("a withdrawal is told at once, not again while it stands, and taken back at once", func(t *testing.T) {
+		v := NewEvidence()
+		v.Due(5_000_000)
+		v.Met("a", 9, 9, 0, 1000)
+		v.Away("a", true, 9, 9, 10)
+		if seen, _, _ := v.Due(5_000_001); len(seen) != 1 || !seen[0].Away || seen[0].Failed != 9 || seen[0].Wait != 10 {
+			t.Errorf("told %+v", seen)
+		}
+		v.Met("a", 1, 1, 0, 1000)
+		v.Away("a", true, 1, 1, 10)
+		if seen, _, _ := v.Due(6_500_000); seen != nil {
+			t.Errorf("told again: %+v", seen)
+		}
+		v.Away("a", false, 0, 0, 0)
+		if seen, _, _ := v.Due(6_500_001); len(seen) != 1 || seen[0].Away {
+			t.Errorf("not taken back: %+v", seen)
+		}
+	})
+	t.Run("demand is told when it has changed, so many proxies at a time", func(t *testing.T) {
+		v := NewEvidence()
+		for proxy := range 100 {
+			v.Comes(proxy, 1, 20, 2_000_000)
+		}
+		_, came, _ := v.Due(1_000_000)
+		_, rest, _ := v.Due(2_000_000)
+		if len(came) != mostCame || len(rest) != 100-mostCame || fmt.Sprint(came[0]) != "{0 [0 10]}" {
+			t.Errorf("told %d and %d, the first %v", len(came), len(rest), came[0])
+		}
+		v.Comes(7, 1, 21, 2_000_000)
+		if _, same, _ := v.Due(3_000_000); same != nil {
+			t.Errorf("told %v for a little more", same)
+		}
+		for range 5 {
+			v.Comes(7, 1, 90, 2_000_000)
+		}
+		if _, more, _ := v.Due(4_000_000); len(more) != 1 || more[0].Proxy != 7 || more[0].Rates[1] < 20 {
+			t.Errorf("told %v", more)
+		}
+		v.Leaves(7)
+		v.Comes(7, 0, 1, 0) // no time at all
+		if _, gone, _ := v.Due(5_000_000); gone != nil || len(v.came) != 99 {
+			t.Errorf("told %v, %d are kept", gone, len(v.came))
+		}
+	})
+	t.Run("what the fleet can do is told when it has changed", func(t *testing.T) {
+		v := NewEvidence()
+		var told []Fit
+		for i, proven := range []float64{0, 2, 2.1, 3, 3} {
+			v.Fits(Fit{Proven: proven})
+			if _, _, fit := v.Due(int64(i+1) * 1_000_000); fit != (Fit{}) {
+				told = append(told, fit)
+			}
+		}
+		if !slices.Equal(told, []Fit{{2, 0}, {3, 0}}) {
+			t.Errorf("told %v", told)
+		}
+	})
+	t.Run("one that comes learns what others saw the fleet do, and what came to a proxy", func(t *testing.T) {
+		p, d := newPlace(), (*Desk)(nil)
+		d = New(p, "n0", terms, 0)
+		d.Elapsed(0)
+		d.Recorded(Entry{Member: "n1", Life: 1, Seq: 1, Fit: Fit{2, 1}, Came: []Came{{5, []float64{4, 0}}}}, 0)
+		if p.stands(d, 10); !slices.Equal(p.learned, []string{"{2 1}"}) {
+			t.Errorf("learned %v", p.learned)
+		}
+		if moves, _ := d.book.Take(Entry{Member: "n1", Life: 1, Seq: 2, Claims: []int{5}}); !slices.Equal(moves[0].Came, []float64{4, 0}) {
+			t.Errorf("moved %+v", moves)
+		}
+	})
+}
+
+func TestDelta(t *testing.T) {
+	all := func(int) bool { return true }
+	want := map[string]float64{"a": 1, "b": 1, "c": 1, "d": 2}
+	for _, story := range []struct {
+		name  string
+		base  []Base
+		class func(int) bool
+		lines string
+		less  bool
+	}{
+		{"nothing is known", nil, all, "[]", false},
+		{"it has all", []Base{{Lines: want}}, all, "[]", true},
+		{"one differs, one is too many", []Base{{Lines: map[string]float64{"a": 1, "b": 3, "c": 1, "d": 2, "z": 1}}}, all, "[{b 1} {z 0}]", true},
+		{"one is in doubt that is to be gone", []Base{{Lines: want, Doubt: map[string]bool{"q": true}}}, all, "[{q 0}]", true},
+		{"a class that has another table does not concern it", []Base{{Lines: want}, {Lines: map[string]float64{}}},
+			func(class int) bool { return class == 0 }, "[]", true},
+		{"one of two classes lacks a line", []Base{{Lines: want}, {Lines: map[string]float64{"a": 1, "b": 1, "c": 1}}}, all, "[{d 2}]", true},
+		{"as many lines as the whole", []Base{{Lines: map[string]float64{"a": 2, "b": 2, "c": 2, "d": 1, "e": 1}}}, all, "[]", false},
+	} {
+		t.Run(story.name, func(t *testing.T) {
+			if lines, less := Delta(story.base, story.class, want); fmt.Sprint(lines) != story.lines || less != story.less {
+				t.Errorf("got %v, %v", lines, less)
+			}
+		})
+	}
+}
