--- a/cmd/wheelrill/rehearse.go
+++ b/cmd/wheelrill/rehearse.go
@@ -72,7 +72,7 @@
 	f.StringVar(&sharing, "sharing", "on", "on, or off for a baseline")
 	f.BoolVar(&t.Fenced, "fenced", false, "relays ask for owners' tokens, and refuse older ones")
 	f.BoolVar(&t.Disk, "disk", false, "members keep the record on disk")
-	f.StringVar(&t.Faults, "faults", "kill", "what is drawn from: kill, leave, freeze, cut, with commas")
+	f.StringVar(&t.Faults, "faults", "kill", "what is drawn from, with commas: kill, leave, pair, freeze, cut, half, split, slow, reload")
 	f.BoolVar(&asJSON, "json", false, "the report as JSON")
 	f.StringVar(&t.Folder, "report", "", "folder for logs and configurations")
 	top.AddCommand(list, run)
