--- /dev/null
+++ b/replica/bench_test.go
@@ -0,0 +1,78 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/raft"
+
+	"wheelrill/share"
+)
+
+// BenchmarkCatchUp has a member come as new to a record that went on without it for an hour: 16 entries a second from two
+// others, who own 400 proxies between them.
+func BenchmarkCatchUp(b *testing.B) {
+	const hour, proxies = 16 * 3600, 400
+	at := addresses(b, "a", "b", "c")
+	a, other, c := starts(b, Place{Name: "a", Members: at}), starts(b, Place{Name: "b", Members: at}), starts(b, Place{Name: "c", Members: at})
+	a.puts(b, share.Entry{Member: "a", Life: 1, Seq: 1})
+	other.puts(b, share.Entry{Member: "b", Life: 2, Seq: 1})
+	c.puts(b, share.Entry{Member: "c", Life: 3, Seq: 1})
+	c.stop()
+	lead := a
+	if r, _ := other.now(); r.State() == raft.Leader {
+		lead = other
+	}
+	for lead.who().Leader == "c" || lead.who().Leader == "" {
+		time.Sleep(lookAgain)
+		if r, _ := other.now(); r.State() == raft.Leader {
+			lead = other
+		}
+	}
+	r, m := lead.now()
+	var last raft.ApplyFuture
+	began := time.Now()
+	for n := range hour {
+		e := share.Entry{Member: []string{"a", "b"}[n%2], Life: uint64(n%2 + 1), Seq: uint64(n/2 + 2), Edition: uint64(n),
+			Told: []share.Told{{Proxy: n % proxies, Token: uint64(n%proxies + 1), Edition: uint64(n), Tables: []int{0, 0}}}}
+		if n < proxies {
+			e.Claims = []int{n}
+		}
+		if n%40 == 0 {
+			e.Laid = []share.Laid{{Table: 0, Lines: []share.Line{{Backend: fmt.Sprint("s-", n%200), Weight: 1}}}}
+		}
+		body, err := cbor.Marshal(e)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if last = r.Apply(body, 0); n%512 == 0 {
+			if err := last.Error(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	if err := last.Error(); err != nil {
+		b.Fatal(err)
+	}
+	b.Logf("%d entries taken in by two in %s", hour, time.Since(began).Round(time.Millisecond))
+	for _, way := range []struct{ name, told string }{{"log", fmt.Sprintf("recorded b 2 %d", hour/2+1)}, {"snapshot", "restored"}} {
+		if way.told == "restored" {
+			a.puts(b, share.Entry{Member: "a", Life: 1, Seq: hour/2 + 2}) // behind the last change of members
+			if err := r.Snapshot().Error(); err != nil && err != raft.ErrNothingNewToSnapshot {
+				b.Fatal(err)
+			}
+		}
+		b.Run(way.name, func(b *testing.B) {
+			for range b.N {
+				back := starts(b, Place{Name: "c", Members: at})
+				back.waits(b, way.told)
+				b.StopTimer()
+				back.stop()
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(m.bytes), "snapshot-bytes")
+		})
+	}
+}
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -66,7 +66,7 @@
 	return false, r.more
 }
 
-func (r *reader) waits(t *testing.T, what string) {
+func (r *reader) waits(t testing.TB, what string) {
 	t.Helper()
 	late := time.After(patience)
 	for {
@@ -90,7 +90,7 @@
 }
 
 // addresses are free ones on loopback.
-func addresses(t *testing.T, names ...string) map[string]string {
+func addresses(t testing.TB, names ...string) map[string]string {
 	t.Helper()
 	of := map[string]string{}
 	for _, name := range names {
@@ -106,7 +106,7 @@
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
-func starts(t *testing.T, place Place) *member {
+func starts(t testing.TB, place Place) *member {
 	t.Helper()
 	r := newReader()
 	place.Terms = terms
@@ -123,7 +123,7 @@
 }
 
 // puts proposes an entry until it stands.
-func (m *member) puts(t *testing.T, e share.Entry) {
+func (m *member) puts(t testing.TB, e share.Entry) {
 	t.Helper()
 	late := time.After(patience)
 	answered, failed := fmt.Sprintf("answered %d %d", e.Life, e.Seq), fmt.Sprintf("failed %d %d", e.Life, e.Seq)
