A full or damaged disk ends a member's part in the record, not its process

Seen: a record.db with its first pages overwritten panicked within bbolt at the start (freelist Read), and raft panics where its term or vote cannot be written; either would have crashed a controller that serves. Ruled out: raft's own handling, which covers the log alone.

--- a/replica/node.go
+++ b/replica/node.go
@@ -13,15 +13,14 @@
 	"maps"
 	"net"
 	"os"
-	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
-	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 
 	"wheelrill/share"
 )
@@ -71,6 +70,9 @@
 	machine *machine
 	close   func()
 
+	out   atomic.Bool                             // votes cannot be kept any more
+	spoil func(raft.StableStore) raft.StableStore // for stories of disks; nil for none
+
 	lead    sync.Mutex // over what we see as leader; it holds over several leaderships, as it rests on our clock alone
 	witness *share.Witness
 	stamp   uint64 // tells our clock from others
@@ -78,6 +80,10 @@
 
 // New checks a place, listens at our address, and starts nothing else. An error says what would do.
 func New(place Place, events Events, log *slog.Logger) (*Node, error) {
+	return makes(place, events, log, nil)
+}
+
+func makes(place Place, events Events, log *slog.Logger, spoil func(raft.StableStore) raft.StableStore) (*Node, error) {
 	address, ok := place.Members[place.Name]
 	if !ok {
 		return nil, fmt.Errorf("members: %q is not among them; add it with its address", place.Name)
@@ -103,7 +109,7 @@
 		return nil, fmt.Errorf("members: listen: %w", err)
 	}
 	began := time.Now()
-	n := &Node{place: place, events: events, log: log, mail: make(chan share.Entry, 1), stamp: draw(),
+	n := &Node{place: place, events: events, log: log, spoil: spoil, mail: make(chan share.Entry, 1), stamp: draw(),
 		witness: share.NewWitness(place.Terms),
 		clock:   func() int64 { return time.Since(began).Microseconds() }}
 	n.link = &link{name: place.Name, members: place.Members, secure: secure, listener: listener, id: n.ID, serve: n.serve,
@@ -156,13 +162,9 @@
 		memory := raft.NewInmemStore()
 		log, stable, snapshots = memory, memory, raft.NewInmemSnapshotStore()
 	} else {
-		if err := os.MkdirAll(n.place.Folder, folderMode); err != nil {
-			return fmt.Errorf("folder: %w", err)
-		}
-		store, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(n.place.Folder, "record.db"),
-			BoltOptions: boltOptions()})
+		store, err := openDisk(n.place.Folder)
 		if err != nil {
-			return fmt.Errorf("folder: %s: %w", n.place.Folder, err)
+			return err
 		}
 		shut = func() { store.Close() }
 		files, err := raft.NewFileSnapshotStoreWithLogger(n.place.Folder, 2, n.raftLog())
@@ -179,6 +181,13 @@
 		}
 		log, stable, snapshots = store, store, files
 	}
+	if n.spoil != nil {
+		stable = n.spoil(stable)
+	}
+	stable = votes{stable, func(err error) {
+		n.log.Error("record_lost", "error", err.Error(), "text", "votes cannot be kept, so we take no further part; mend the disk and restart")
+		n.out.Store(true)
+	}, n.link.ended}
 	ours := &layer{link: n.link, address: addressOf(n.place.Name, id), over: make(chan struct{})}
 	carrier := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: ours, MaxPool: 2,
 		Timeout: callPatience, Logger: n.raftLog()})
@@ -229,7 +238,9 @@
 	parts.Go(func() { n.propose(ctx) })
 	parts.Go(func() { n.belong(ctx) })
 	<-ctx.Done()
-	if r, _ := n.now(); r.State() == raft.Leader {
+	if n.out.Load() {
+		n.link.close() // or what is held would hold up the end
+	} else if r, _ := n.now(); r.State() == raft.Leader {
 		r.LeadershipTransfer().Error() // or the others go without a leader for a while
 	}
 	n.mutex.Lock()
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -9,6 +9,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,12 +19,35 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/raft"
+
 	"wheelrill/share"
 )
 
+// full is a disk that takes nothing from some moment on.
+type full struct {
+	raft.StableStore
+	since *atomic.Bool
+}
+
+func (f full) SetUint64(key []byte, value uint64) error {
+	if f.since.Load() {
+		return errors.New("no space left on device")
+	}
+	return f.StableStore.SetUint64(key, value)
+}
+
+func (f full) Set(key, value []byte) error {
+	if f.since.Load() {
+		return errors.New("no space left on device")
+	}
+	return f.StableStore.Set(key, value)
+}
+
 const patience = 30 * time.Second
 
 var terms = share.Terms{Lease: 1_500_000, Renew: 200_000, Span: 10_000_000, Messages: 30, Members: 3}
@@ -107,10 +131,16 @@
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
 func starts(t testing.TB, place Place) *member {
+	t.Helper()
+	return startsOn(t, place, nil)
+}
+
+// startsOn runs one on a disk that is spoilt by the story.
+func startsOn(t testing.TB, place Place, spoil func(raft.StableStore) raft.StableStore) *member {
 	t.Helper()
 	r := newReader()
 	place.Terms = terms
-	n, err := New(place, r, quiet())
+	n, err := makes(place, r, quiet(), spoil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -370,3 +400,74 @@
 		t.Errorf("a damaged snapshot changed the book: %v", err)
 	}
 }
+
+func TestDisk(t *testing.T) {
+	t.Run("a disk that is full when a vote has to be kept ends the part in the record, not the process", func(t *testing.T) {
+		at, since := addresses(t, "a", "b", "c"), &atomic.Bool{}
+		a := startsOn(t, Place{Name: "a", Members: at, Folder: t.TempDir()}, func(s raft.StableStore) raft.StableStore { return full{s, since} })
+		others := map[string]*member{"b": starts(t, Place{Name: "b", Members: at}), "c": starts(t, Place{Name: "c", Members: at})}
+		a.puts(t, share.Entry{Member: "a", Life: 1, Seq: 1})
+		late := time.After(patience)
+		until := func(is func() bool) {
+			t.Helper()
+			for !is() {
+				select {
+				case <-late:
+					t.Fatal("it never came to that")
+				case <-time.After(10 * time.Millisecond):
+				}
+			}
+		}
+		until(func() bool { // somebody else leads
+			r, _ := a.now()
+			if r.State() == raft.Leader {
+				r.LeadershipTransfer().Error()
+			}
+			return others[a.who().Leader] != nil
+		})
+		since.Store(true)
+		others[a.who().Leader].stop()
+		until(a.out.Load) // the next election has it vote, or stand itself
+		a.Propose(share.Entry{Member: "a", Life: 1, Seq: 3})
+		a.waits(t, "failed 1 3") // and so goes on by itself
+		a.stop()
+	})
+	at := addresses(t, "a")
+	fresh := func(t *testing.T) string {
+		folder := t.TempDir()
+		a := starts(t, Place{Name: "a", Members: at, Folder: folder})
+		for seq := uint64(1); seq < 40; seq++ {
+			a.puts(t, share.Entry{Member: "a", Life: 1, Seq: seq})
+		}
+		a.stop()
+		return folder
+	}
+	for name, spoil := range map[string]func(text []byte) []byte{
+		"is cut off":                      func(text []byte) []byte { return text[:len(text)/3] },
+		"is something else":               func([]byte) []byte { return bytes.Repeat([]byte("no record "), 2000) },
+		"has its first pages overwritten": func(text []byte) []byte { return append(make([]byte, 8192), text[8192:]...) },
+	} {
+		t.Run("a record that "+name+" is refused, with the folder named", func(t *testing.T) {
+			folder := fresh(t)
+			path := filepath.Join(folder, "record.db")
+			text, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(path, spoil(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			n, err := New(Place{Name: "a", Members: at, Folder: folder, Terms: terms}, newReader(), quiet())
+			if err == nil {
+				n.mutex.Lock()
+				shut := n.close
+				n.mutex.Unlock()
+				shut()
+				n.link.close()
+			}
+			if err == nil || !strings.Contains(err.Error(), folder) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
