A member that comes back claims only proxies that it hears; workers drain and return cold in rehearsals

Lines: n0 stood still for 3.0 s, went off the record and claimed all its proxies anew while they were at n1 and n2 already, which counted the messages as spent, and decide's ledger.open held the drain up. Ruled out: the list (v10 came at once), the lease (alone never). At fault: share/desk.go enter. Change: what was ours is claimed as it is heard, and a member's claim on its own is no move.

--- a/cmd/wheelrill/rehearse.go
+++ b/cmd/wheelrill/rehearse.go
@@ -100,8 +100,8 @@
 		fmt.Fprintf(to, "importance fulfilled in time %.4f of %d exchanges; lost %d, refused %d\n", r.Fulfilled, r.Came, r.Lost, r.Refused)
 		fmt.Fprintf(to, "streams begun %d, lines in the first second of each %.1f; all lines %d in %d orders; refused as stale %d\n",
 			r.Takeovers, r.JoinLines, r.Lines, r.Orders, r.Stale)
-		fmt.Fprintf(to, "hangs %d, left after %.2f s in the mean, %.2f s at most; tries into them %d\n", r.Hangs, r.LeaveMean, r.LeaveMost,
-			r.IntoHang)
+		fmt.Fprintf(to, "hangs %d, left after %.2f s in the mean, %.2f s at most; tries into them %d; workers replaced %d\n", r.Hangs,
+			r.LeaveMean, r.LeaveMost, r.IntoHang, r.Replaced)
 		for _, b := range r.Breaches {
 			fmt.Fprintf(to, "rule %d at %.1f s: %s: %s\n", b.Rule, b.At.Seconds(), b.Whose, b.Text)
 		}
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -138,7 +138,7 @@
 	f.desk.Elapsed(now)
 	for node, j := range f.module.joins {
 		if j != nil {
-			f.desk.Spoke(node, j.peer.heard.Load(), now)
+			f.desk.Spoke(node, j.peer.heard.Load())
 		}
 	}
 	f.tell(now)
--- a/rehearse/takeover.go
+++ b/rehearse/takeover.go
@@ -62,6 +62,7 @@
 	Orders     int            `json:"orders"`
 	Stale      int            `json:"orders_refused_as_of_an_older_owner"`
 	Hangs      int            `json:"hangs"`
+	Replaced   int            `json:"workers_replaced"`
 	LeaveMean  float64        `json:"left_a_hung_worker_after_s_mean"`
 	LeaveMost  float64        `json:"left_a_hung_worker_after_s_most"`
 	IntoHang   int            `json:"tries_into_a_hang"`
@@ -79,14 +80,17 @@
 
 // Figures of the scenario's installation.
 const (
-	hangFor   = 8 * time.Second
-	hangEvery = 18 * time.Second
-	frozenFor = 10 * time.Second
-	cutFor    = 8 * time.Second
-	tooLate   = 100 * time.Millisecond // of one turn in a hundred: nothing measured means anything
-	grace     = 3000 * time.Millisecond
-	slack     = 300 * time.Millisecond // that real sockets get beyond it
-	readyIn   = 30 * time.Second
+	hangFor      = 8 * time.Second
+	hangEvery    = 18 * time.Second
+	replaceEvery = 13 * time.Second // a worker drains, ...
+	drainFor     = 6 * time.Second  // ... and is back after this as a new process, ...
+	warmBy       = 17 * time.Second // ... which is cold for so long
+	frozenFor    = 10 * time.Second
+	cutFor       = 8 * time.Second
+	tooLate      = 100 * time.Millisecond // of one turn in a hundred: nothing measured means anything
+	grace        = 3000 * time.Millisecond
+	slack        = 300 * time.Millisecond // that real sockets get beyond it
+	readyIn      = 30 * time.Second
 )
 
 // channel is what a controller's way to its relays bears: lines a second, and how many may wait. One line to all relays
@@ -111,7 +115,7 @@
 			"partitionsN": 0, "classWrites": writes, "staysLocal": stays},
 		"limits": map[string]any{"mayProbe": false}, "profiles": profiles,
 		"reporting": map[string]any{"how": "silent", "fields": []string{}},
-		"rules":     map[string]any{"coldShare": 0.16, "rampTime": 17000, "stopSendingWithin": grace.Milliseconds()}}
+		"rules":     map[string]any{"coldShare": 0.16, "rampTime": warmBy.Milliseconds(), "stopSendingWithin": grace.Milliseconds()}}
 }
 
 // Run plays it. An error means that it could not be played at all.
@@ -143,7 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &play{Takeover: t, in: in, folder: folder, random: rand.New(rand.NewPCG(t.Seed, 1)), faults: map[string]int{},
+	p := &play{Takeover: t, in: in, folder: folder, random: rand.New(rand.NewPCG(t.Seed, 1)), faults: map[string]int{}, busy: map[*standin.Worker]bool{},
 		report: &Report{Scenario: "takeover", Seed: t.Seed, Sharing: t.Sharing, Instances: t.Instances, Relays: t.Relays, Folder: folder}}
 	if p.events, err = os.Create(filepath.Join(folder, "events.log")); err != nil {
 		in.Close()
@@ -189,6 +193,7 @@
 	events    *os.File
 	random    *rand.Rand
 	faults    map[string]int
+	busy      map[*standin.Worker]bool // with which something is going on
 	report    *Report
 	due       []due
 }
@@ -281,7 +286,7 @@
 func (p *play) play(ctx context.Context) (*Report, error) {
 	load, before, began := watchBusy(), p.in.Counts(), time.Now()
 	var left []time.Duration
-	fault, hang := began.Add(p.KillEvery), began.Add(hangEvery/4)
+	fault, hang, replace := began.Add(p.KillEvery), began.Add(hangEvery/4), began.Add(replaceEvery/4)
 	for ctx.Err() == nil && time.Since(began) < p.For {
 		select {
 		case <-ctx.Done():
@@ -307,6 +312,10 @@
 			hang = hang.Add(hangEvery)
 			p.hang(&left)
 		}
+		if now.After(replace) {
+			replace = replace.Add(replaceEvery)
+			p.replace()
+		}
 		for _, i := range p.instances {
 			if i.gone() {
 				return nil, fmt.Errorf("%s has ended by itself; its log is %s", i.name, i.log.Name())
@@ -351,8 +360,10 @@
 	case "freeze":
 		one.up = false // for other faults
 		one.cmd.Process.Signal(syscall.SIGSTOP)
+		p.in.Frozen(at, true)
 		p.later(min(frozenFor, p.KillEvery/2), func() error {
 			one.up = true
+			p.in.Frozen(at, false)
 			return one.cmd.Process.Signal(syscall.SIGCONT)
 		})
 	case "cut":
@@ -396,9 +407,50 @@
 	}
 }
 
+// steady draws a worker with which nothing is going on; nil if there is none.
+func (p *play) steady() *standin.Worker {
+	var all []*standin.Worker
+	for _, w := range p.in.Workers {
+		if !p.busy[w] && w.Warm() {
+			all = append(all, w)
+		}
+	}
+	if len(all) < 2 {
+		return nil // one is left to serve
+	}
+	return all[p.random.IntN(len(all))]
+}
+
+// replace has a worker drain, and come back as a new process, which is cold at first.
+func (p *play) replace() {
+	w := p.steady()
+	if w == nil {
+		return
+	}
+	p.busy[w] = true
+	p.report.Replaced++
+	p.say("%s drains", w.ID)
+	p.in.Discovery.List("draining", w)
+	p.later(drainFor, func() error {
+		p.say("%s is back", w.ID)
+		w.Restart(warmBy)
+		p.in.Discovery.List("up", w)
+		p.later(warmBy, func() error {
+			p.in.Discovery.List("up", w) // as it was: the account has it as warm from now on
+			delete(p.busy, w)
+			return nil
+		})
+		return nil
+	})
+}
+
 // hang has a worker take everything and answer nothing for a while, and notes when nine in ten relays had left it.
 func (p *play) hang(left *[]time.Duration) {
-	w, began := p.in.Workers[p.random.IntN(len(p.in.Workers))], time.Now()
+	w, began := p.steady(), time.Now()
+	if w == nil {
+		return
+	}
+	p.busy[w] = true
 	w.Set(standin.Hangs)
 	p.report.Hangs++
 	p.say("%s hangs", w.ID)
@@ -415,6 +467,7 @@
 				*left = append(*left, since)
 			}
 			w.Set(standin.Serves)
+			delete(p.busy, w)
 			return nil
 		}
 		p.later(50*time.Millisecond, look)
--- a/rules/account.go
+++ b/rules/account.go
@@ -49,6 +49,7 @@
 
 type relay struct {
 	joined   bool
+	since    time.Duration            // when that began
 	bare     map[string]time.Duration // since when, by class
 	told     map[string]bool          // of the bare spell that it was counted as a breach
 	messages []time.Duration
@@ -109,7 +110,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	r := a.relay(id)
-	if r.joined = joined; !joined {
+	if r.joined, r.since = joined, at; !joined {
 		clear(r.bare)
 		clear(r.told)
 		return
@@ -166,12 +167,17 @@
 	a.effects[key] = at
 }
 
-// Tried: a relay sends a worker something now, by its table.
+// Tried: a relay sends a worker something now, by its table. One that came to its controller later has the grace from
+// then on.
 func (a *Account) Tried(id string, by int, at time.Duration) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if w := a.workers[id]; w != nil && w.leave > 0 && at > w.leave {
-		a.breach(3, at, fmt.Sprint("relay ", by), "sent to %s, which was to be left by %s", id, w.leave.Round(time.Millisecond))
+	w, r := a.workers[id], a.relay(by)
+	if w == nil || w.leave == 0 || !r.joined {
+		return // whoever has no stream cannot be told
+	}
+	if left := max(w.leave, r.since+a.limits.Grace+a.limits.Margin); at > left {
+		a.breach(3, at, fmt.Sprint("relay ", by), "sent to %s, which was to be left by %s", id, left.Round(time.Millisecond))
 	}
 }
 
--- a/rules/account_test.go
+++ b/rules/account_test.go
@@ -52,16 +52,35 @@
 		{"two effects of two pieces of work", func(a *Account) { a.Took("x", 0); a.Took("y", ms) }, 0, nil},
 		{"one effect twice", func(a *Account) { a.Took("x", 0); a.Took("x", ms) }, 0, []int{2}},
 		{"a worker that drains is tried within the grace", func(a *Account) {
+			a.Joined(1, true, nil, 0)
 			a.Listed("w", false, false, 0)
 			a.Tried("w", 1, limits.Grace)
 		}, 0, nil},
 		{"it is tried after the grace", func(a *Account) {
+			a.Joined(1, true, nil, 0)
 			a.Listed("w", false, false, 0)
 			a.Tried("w", 1, limits.Grace+ms)
 		}, 0, []int{3}},
+		{"it is tried by a relay that came later, within the grace from then on", func(a *Account) {
+			a.Listed("w", false, false, 0)
+			a.Joined(1, true, nil, 500*ms)
+			a.Tried("w", 1, 500*ms+limits.Grace)
+		}, 0, nil},
+		{"... and after that", func(a *Account) {
+			a.Listed("w", false, false, 0)
+			a.Joined(1, true, nil, 500*ms)
+			a.Tried("w", 1, 501*ms+limits.Grace)
+		}, 0, []int{3}},
+		{"it is tried by a relay that nobody can tell anything", func(a *Account) {
+			a.Listed("w", false, false, 0)
+			a.Joined(1, true, nil, 0)
+			a.Joined(1, false, nil, 100*ms)
+			a.Tried("w", 1, limits.Grace+ms)
+		}, 0, nil},
 		{"told to drain twice, it has to be left by the first", func(a *Account) {
 			a.Listed("w", false, false, 0)
 			a.Listed("w", false, false, 1000*ms)
+			a.Joined(1, true, nil, 0)
 			a.Tried("w", 1, limits.Grace+ms)
 		}, 0, []int{3}},
 		{"back on the list it may be tried", func(a *Account) {
--- a/share/book.go
+++ b/share/book.go
@@ -20,7 +20,8 @@
 	Floor   uint64 `cbor:"4,keyasint,omitempty"` // the greatest token that the member has seen
 	Closing bool   `cbor:"5,keyasint,omitempty"` // nothing will be written to any proxy from now on
 	Claims  []int  `cbor:"6,keyasint,omitempty"`
-	Edition uint64 `cbor:"7,keyasint,omitempty"` // of the tables once Laid counts
+	Again   []int  `cbor:"15,keyasint,omitempty"` // claims of proxies whose streams the member has had all the time
+	Edition uint64 `cbor:"7,keyasint,omitempty"`  // of the tables once Laid counts
 	Laid    []Laid `cbor:"8,keyasint,omitempty"`
 	Told    []Told `cbor:"9,keyasint,omitempty"`
 	Seen    []Seen `cbor:"10,keyasint,omitempty"`
@@ -176,7 +177,10 @@
 		b.Fits[e.Member] = e.Fit
 	}
 	for _, proxy := range e.Claims {
-		moves = append(moves, b.claim(proxy, e))
+		moves = append(moves, b.claim(proxy, e, false))
+	}
+	for _, proxy := range e.Again {
+		moves = append(moves, b.claim(proxy, e, true))
 	}
 	if e.Closing {
 		life.Closed = true
@@ -251,11 +255,11 @@
 
 // claim moves a proxy. What it holds is known if all that its last owner wrote is on the record, and if nobody else
 // can have had it since: a member off the record serves whoever comes to it, and cannot say so.
-func (b *Book) claim(proxy int, e Entry) Move {
+func (b *Book) claim(proxy int, e Entry, again bool) Move {
 	from := b.Proxies[proxy]
 	b.Token++
 	m := Move{Proxy: proxy, From: from, To: Holding{Owner: e.Member, Life: e.Life, Token: b.Token}}
-	if from.Owner != "" {
+	if m.To.Moves = from.Moves; from.Owner != "" && !(again && from.Owner == e.Member) {
 		m.To.Moves = append(slices.Clone(from.Moves), e.Stamp)
 		m.To.Moves = m.To.Moves[max(0, len(m.To.Moves)-movesKept-1):]
 	}
--- a/share/check_test.go
+++ b/share/check_test.go
@@ -199,6 +199,9 @@
 			if p.up {
 				p.desk.Elapsed(w.now)
 			}
+			if p.up && w.stream == p.index && w.serial == p.joined {
+				p.desk.Spoke(0, w.now)
+			}
 		}
 	case 'd':
 		if !p.up {
--- a/share/desk.go
+++ b/share/desk.go
@@ -79,7 +79,7 @@
 	token     uint64 // of this life; 0 while none is given
 	claiming  bool
 	others    int   // claims of ours that were under way as its stream began: they mean an older one
-	disowned  int64 // since when another owns it by the record; 0 if none does
+	unheard   int64 // since when it is ours by no claim, and has to be heard first; 0 where it is, or is claimed
 	edition   uint64
 	tables    []int
 	sure      bool
@@ -90,12 +90,13 @@
 	d := &Desk{host: host, terms: terms, name: name, book: NewBook(), stood: now, last: now - terms.Renew,
 		tables: map[int]map[string]float64{}, proxies: map[int]*charge{}, strays: map[int][]int64{},
 		leaders: map[uint64]heard{}}
-	d.enter()
+	d.enter(now)
 	return d
 }
 
-// enter begins a life on the record: with our tables as they stand, and a claim on each proxy that we have.
-func (d *Desk) enter() {
+// enter begins a life on the record with our tables as they stand. The proxies that we have are claimed as they are
+// heard: we may have stood still, and they may have gone to others long ago, whom a claim of ours would take them from.
+func (d *Desk) enter(now int64) {
 	d.life, d.seq, d.under = d.host.Chance(), 0, nil
 	d.next = Entry{Floor: d.book.Token, Edition: d.edition}
 	for _, number := range slices.Sorted(maps.Keys(d.tables)) {
@@ -105,14 +106,18 @@
 		}
 		d.next.Laid = append(d.next.Laid, laid)
 	}
-	for _, proxy := range slices.Sorted(maps.Keys(d.proxies)) {
-		d.claim(proxy)
+	for _, p := range d.proxies {
+		p.token, p.claiming, p.others, p.unheard = 0, false, 0, now
 	}
 }
 
-func (d *Desk) claim(proxy int) {
-	d.proxies[proxy].token, d.proxies[proxy].claiming = 0, true
-	if !slices.Contains(d.next.Claims, proxy) {
+// claim asks for a proxy: for a new stream of it, or again for one that we have had all the time.
+func (d *Desk) claim(proxy int, again bool) {
+	p := d.proxies[proxy]
+	p.token, p.claiming, p.unheard = 0, true, 0
+	if again {
+		d.next.Again = append(d.next.Again, proxy)
+	} else if !slices.Contains(d.next.Claims, proxy) {
 		d.next.Claims = append(d.next.Claims, proxy)
 	}
 }
@@ -137,10 +142,14 @@
 // nothing is written to a proxy that is not ours by it: a later owner would not know of it.
 func (d *Desk) Joined(proxy int, now int64) {
 	d.proxies[proxy] = &charge{}
-	if d.under != nil && slices.Contains(d.under.Claims, proxy) {
-		d.proxies[proxy].others++
+	if d.under != nil {
+		for _, claims := range [][]int{d.under.Claims, d.under.Again} {
+			if slices.Contains(claims, proxy) {
+				d.proxies[proxy].others++
+			}
+		}
 	}
-	d.claim(proxy)
+	d.claim(proxy, false)
 	if d.alone {
 		d.grant(proxy, Move{}, d.terms.Own(), now)
 	}
@@ -150,14 +159,15 @@
 // Left: its stream has ended.
 func (d *Desk) Left(proxy int) {
 	delete(d.proxies, proxy)
-	d.next.Claims = slices.DeleteFunc(d.next.Claims, func(p int) bool { return p == proxy })
+	is := func(p int) bool { return p == proxy }
+	d.next.Claims, d.next.Again = slices.DeleteFunc(d.next.Claims, is), slices.DeleteFunc(d.next.Again, is)
 }
 
-// Spoke: the proxy was heard on its stream. If another owns it by the record it has not gone there, or is back.
-func (d *Desk) Spoke(proxy int, at, now int64) {
-	if p := d.proxies[proxy]; p != nil && p.disowned > 0 && at > p.disowned+d.terms.Renew && !p.claiming {
-		p.disowned = 0
-		d.claim(proxy)
+// Spoke: the proxy was last heard on its stream at some time. If another owns it by the record it has not gone there, or
+// is back.
+func (d *Desk) Spoke(proxy int, at int64) {
+	if p := d.proxies[proxy]; p != nil && p.unheard > 0 && at > p.unheard+d.terms.Renew {
+		d.claim(proxy, true)
 	}
 }
 
@@ -227,7 +237,7 @@
 
 // Close gives all away at a planned end: from now on nothing is written to any proxy.
 func (d *Desk) Close(now int64) {
-	d.closing, d.next.Closing, d.next.Claims = true, true, nil
+	d.closing, d.next.Closing, d.next.Claims, d.next.Again = true, true, nil, nil
 	d.goOn(now)
 }
 
@@ -266,12 +276,12 @@
 			d.grant(proxy, Move{}, d.terms.Own(), now)
 		}
 	}
-	d.enter() // what we write from now on is another life's
+	d.enter(now) // what we write from now on is another life's
 }
 
 // goOn proposes what has gathered, one entry at a time.
 func (d *Desk) goOn(now int64) {
-	pressing := len(d.next.Claims) > 0 || len(d.next.Laid) > 0 || d.next.Closing || d.seq == 0 ||
+	pressing := len(d.next.Claims) > 0 || len(d.next.Again) > 0 || len(d.next.Laid) > 0 || d.next.Closing || d.seq == 0 ||
 		len(d.next.Told) > 0 && now-d.last >= d.terms.Renew/2
 	if d.under != nil || !pressing && now-d.last < d.terms.Renew {
 		return
@@ -359,7 +369,7 @@
 			d.hears(move, now)
 		}
 		if p := d.proxies[proxy]; p != nil && h.Life != d.life && h.Token > p.token && p.token > 0 {
-			p.token, p.owned, p.disowned = 0, false, now
+			p.token, p.owned, p.unheard = 0, false, now
 		}
 	}
 }
@@ -407,15 +417,15 @@
 	case ours && p.others > 0:
 		p.others--
 	case ours:
-		p.claiming, p.owned, p.token, p.disowned = false, true, m.To.Token, 0
+		p.claiming, p.owned, p.token, p.unheard = false, true, m.To.Token, 0
 		if p.granted {
 			d.tell(m.Proxy, p)
 			return
 		}
 		spent := d.terms.Own() * (standing / (movesKept + 1)) // shares are laid aside for owners before, not for more
 		d.grant(m.Proxy, m, spent, now)
-	case p.owned && m.To.Token > p.token:
-		p.owned, p.token, p.disowned = false, 0, now
+	case p.owned && m.To.Token > p.token && m.To.Owner != d.name:
+		p.owned, p.token, p.unheard = false, 0, now
 		if p.granted {
 			d.host.Spent(m.Proxy, d.terms.Own())
 		}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -109,10 +109,16 @@
 		d.Elapsed(1100)
 		d.Laid([]Laid{{0, []Line{{"a", 0}}}}, 1150)
 		e := p.stands(d, 1200)
-		if e.Seq != 1 || e.Life == old.Life || !slices.Equal(e.Claims, []int{4}) || len(e.Laid) != 1 || d.Alone() {
+		if e.Seq != 1 || e.Life == old.Life || len(e.Claims)+len(e.Again) > 0 || len(e.Laid) != 1 || d.Alone() {
 			t.Errorf("entered with %+v, alone %v", e, d.Alone())
 		}
+		d.Spoke(4, 1000) // heard before: it may be gone since
 		p.stands(d, 1300)
+		d.Spoke(4, 1350)
+		p.stands(d, 1400) // what was under way
+		if again := p.stands(d, 1410); !slices.Equal(again.Again, []int{4}) || d.Owned() != 1 || len(d.book.Proxies[4].Moves) > 0 {
+			t.Errorf("claimed with %+v, owns %d, moves %v", again, d.Owned(), d.book.Proxies[4].Moves)
+		}
 		if _, taken := d.book.Take(old); taken {
 			t.Error("an entry of the life that is over was taken in")
 		}
@@ -175,8 +181,8 @@
 		if d.Owned() != 0 || p.spent[4] != terms.Own() {
 			t.Errorf("owns %d, spent %v", d.Owned(), p.spent)
 		}
-		d.Spoke(4, 60, 80) // what was heard before says nothing
-		d.Spoke(5, 300, 300)
+		d.Spoke(4, 60) // what was heard before says nothing
+		d.Spoke(5, 300)
 		d.Elapsed(300)
 		p.stands(d, 310)
 		if p.stands(d, 320); d.book.Proxies[5].Owner != "n0" || d.book.Proxies[4].Owner != "n1" {
--- a/standin/discovery.go
+++ b/standin/discovery.go
@@ -95,7 +95,7 @@
 		} else {
 			d.entries[at] = e
 		}
-		d.account.Listed(w.ID, state == "up", e.Started == 0, d.clock())
+		d.account.Listed(w.ID, state == "up", w.Warm(), d.clock())
 	}
 	d.told()
 }
--- a/standin/installation.go
+++ b/standin/installation.go
@@ -94,6 +94,17 @@
 	c.free = 0
 }
 
+// Frozen: a controller's process stands still, or goes on. Its streams count as left meanwhile.
+func (in *Installation) Frozen(controller int, frozen bool) {
+	for _, r := range in.relays {
+		r.mutex.Lock()
+		if r.at == controller {
+			r.joins(!frozen)
+		}
+		r.mutex.Unlock()
+	}
+}
+
 // Wire is the way to a controller.
 func (in *Installation) Wire(controller int) *Wire { return in.controllers[controller] }
 
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -247,20 +247,25 @@
 	defer r.mutex.Unlock()
 	r.conn, r.at = conn, at
 	r.counts.Streams++
-	var lacks []string
-	for i, c := range r.in.classes {
-		if !r.has(i) {
-			lacks = append(lacks, c.Name)
-		}
-	}
-	r.in.account.Joined(r.node, true, lacks, r.in.Clock())
+	r.joins(true)
 }
 
 func (r *Relay) ends() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.conn, r.at = nil, -1
-	r.in.account.Joined(r.node, false, nil, r.in.Clock())
+	r.joins(false)
+}
+
+// joins notes that the relay can be told something from now on, or cannot. It is locked.
+func (r *Relay) joins(can bool) {
+	var lacks []string
+	for i, c := range r.in.classes {
+		if can && !r.has(i) {
+			lacks = append(lacks, c.Name)
+		}
+	}
+	r.in.account.Joined(r.node, can, lacks, r.in.Clock())
 }
 
 func (r *Relay) has(class int) bool {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -66,6 +66,13 @@
 	w.mode, w.started, w.warm, w.queue = Serves, time.Now(), warm, nil
 }
 
+// Warm tells whether it may be sent as much as any.
+func (w *Worker) Warm() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.started.IsZero() || time.Since(w.started) >= w.warm
+}
+
 func (w *Worker) entry(state string) entry {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
