A proxy's fourth owner within a span has messages left, and two of them are kept for drains

Lines: relays on n0 had come by three moves within 10 s; their bind and three ordinary changes had used what was left, and decide's ledger.open held the drain up for all 25 until the span passed. Ruled out: claims of thawed members (none in these seconds), the list (there within 4 ms), the lease (no alone=true). At fault: ledger.may, which let ordinary changes take the urgent part, and shares that left a fourth owner one message. Change: two are kept for urgent ones; an owner has four in any case, for up to four moves within the span: a proxy is with one owner at a time, whose pace alone keeps a span's messages under the limit.

--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -24,8 +24,10 @@
 // proxies, and an entry or two may be lost within it.
 const (
 	usualLease = 3 * second / 2
-	leaseParts = 8       // an entry is proposed this often in a lease at least
-	uncounted  = 1 << 20 // messages that may go to a proxy where no setting limits them
+	leaseParts = 8 // an entry is proposed this often in a lease at least
+	// Of the messages to a proxy: its bind, what goes first to one that waits, a drain, and one more.
+	keptMessages = 4
+	uncounted    = 1 << 20 // messages that may go to a proxy where no setting limits them
 )
 
 // Share has the controller share its fleet from Serve on. An error says what would do.
@@ -35,7 +37,7 @@
 	}
 	m := c.module
 	terms := share.Terms{Lease: with.Lease, Span: c.plan.channel.MessagesSpan + c.plan.channel.LongestWay,
-		Messages: c.plan.channel.MessagesMost, Members: len(with.Members)}
+		Messages: c.plan.channel.MessagesMost, Members: len(with.Members), Kept: keptMessages}
 	if terms.Lease == 0 {
 		terms.Lease = usualLease
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -981,7 +981,7 @@
 	if l.MessagesMost == 0 || len(p.sent) > 0 && p.sent[len(p.sent)-1] == now {
 		return true
 	}
-	return len(p.sent) < l.MessagesMost/2 || (urgent || p.cramped) && len(p.sent) < l.MessagesMost
+	return len(p.sent) < max(l.MessagesMost/2, (l.MessagesMost-2)*count(p.cramped), l.MessagesMost*count(urgent))
 }
 
 // open tells whether changes may go to all bound proxies now. Needed ones wait for each other as long as the
--- a/share/book.go
+++ b/share/book.go
@@ -139,7 +139,8 @@
 	mostOut  = 256 // lines taken out that a table remembers ...
 	leastOut = 128 // ... and how many are left once there are more
 
-	movesKept = 2 // owners before the present one for whose messages there is room within the span
+	movesKept = 2 // owners before the present one for whose shares there is room within the span
+	mostMoves = 4 // moves within it up to which an owner has some messages in any case
 )
 
 // NewBook makes an empty record.
@@ -261,7 +262,7 @@
 	m := Move{Proxy: proxy, From: from, To: Holding{Owner: e.Member, Life: e.Life, Token: b.Token}}
 	if m.To.Moves = from.Moves; from.Owner != "" && !(again && from.Owner == e.Member) {
 		m.To.Moves = append(slices.Clone(from.Moves), e.Stamp)
-		m.To.Moves = m.To.Moves[max(0, len(m.To.Moves)-movesKept-1):]
+		m.To.Moves = m.To.Moves[max(0, len(m.To.Moves)-mostMoves-1):]
 	}
 	m.Came = b.Came[proxy]
 	last := b.Lives[from.Life]
--- a/share/check_test.go
+++ b/share/check_test.go
@@ -298,6 +298,7 @@
 		for _, at := range d.strays[0] {
 			fmt.Fprint(h, " ", since(at))
 		}
+		fmt.Fprint(h, min(w.now-d.started, modelTerms.Span))
 		if a, ok := w.witness.came[d.life]; ok {
 			fmt.Fprint(h, since(a.at), since(a.last), since(a.sure))
 		}
@@ -411,7 +412,7 @@
 	}{
 		{"a witness that vouches for everybody", "x0 t0 t0", "the proxy has a 1, the base says 0", 3,
 			func(w *world) { w.witness.lease = 1 << 40 }},
-		{"a record that forgets who had a proxy before", "f0 d1 f1 d0 f0 d1 f1", "17 messages within the span", 3, func(w *world) {
+		{"a record that forgets who had a proxy before", "f0 d1 f1 d0 f0 d1 f1 d0 f0", "17 messages within the span", 3, func(w *world) {
 			for _, book := range []*Book{w.book, w.members[0].desk.book, w.members[1].desk.book} {
 				h := book.Proxies[0]
 				h.Moves = nil
@@ -419,6 +420,7 @@
 			}
 			for _, p := range w.members {
 				clear(p.desk.strays)
+				p.desk.started = -modelTerms.Span
 			}
 		}},
 		{"orders that leave before they stand on the record", "l0 t0", "the proxy has a 1, the base says 0", 3,
--- a/share/desk.go
+++ b/share/desk.go
@@ -33,15 +33,19 @@
 	Span     int64 // messages to a proxy are counted over this
 	Messages int   // that a proxy may be sent within it, by all members together
 	Members  int   // that there can be
+	// Kept is how many of them an owner has in any case, however many came before it. A proxy is with one owner at a time,
+	// who orders changes at a pace: those of a whole span, and what each owner's coming takes, are within the limit for
+	// up to mostMoves of them; shares alone would leave the last without any.
+	Kept int
 }
 
-// Stray is what each member may write to a proxy within the span without owning it by the record; a member that starts
-// anew, or gets the proxy back, has forgotten what it wrote of that, so it counts twice. Own is what an owner may write
-// beyond it: the shares of the owners before count until the span has passed. All together stay within the limit.
-func (t Terms) Stray() int { return t.Messages / 4 / max(t.Members, 1) }
+// Stray is what each member may write to a proxy within the span without owning it by the record. A member that starts
+// anew, or gets the proxy back, has forgotten what it wrote of that: it has one message then. Own is what an owner may
+// write beyond it: the shares of the owners before count until the span has passed. All together stay within the limit.
+func (t Terms) Stray() int { return max(1, t.Messages/2/max(t.Members, 1)-1) }
 
 // Own is an owner's further share.
-func (t Terms) Own() int { return (t.Messages - 2*t.Members*t.Stray()) / (movesKept + 1) }
+func (t Terms) Own() int { return (t.Messages - t.Members*(t.Stray()+1)) / (movesKept + 1) }
 
 // Desk is one member at work on the record.
 type Desk struct {
@@ -58,6 +62,7 @@
 	last      int64  // when any was
 	alone     bool
 	closing   bool
+	started   int64
 
 	edition uint64                     // of our tables
 	tables  map[int]map[string]float64 // as they stand
@@ -87,7 +92,7 @@
 
 // New makes the desk of a member that has just started.
 func New(host Host, name string, terms Terms, now int64) *Desk {
-	d := &Desk{host: host, terms: terms, name: name, book: NewBook(), stood: now, last: now - terms.Renew,
+	d := &Desk{host: host, terms: terms, name: name, book: NewBook(), started: now, stood: now, last: now - terms.Renew,
 		tables: map[int]map[string]float64{}, proxies: map[int]*charge{}, strays: map[int][]int64{},
 		leaders: map[uint64]heard{}}
 	d.enter(now)
@@ -422,7 +427,7 @@
 			d.tell(m.Proxy, p)
 			return
 		}
-		spent := d.terms.Own() * (standing / (movesKept + 1)) // shares are laid aside for owners before, not for more
+		spent := d.terms.Own() * min(1, standing/(movesKept+1)) // shares are laid aside for owners before, not for more
 		d.grant(m.Proxy, m, spent, now)
 	case p.owned && m.To.Token > p.token && m.To.Owner != d.name:
 		p.owned, p.token, p.unheard = false, 0, now
@@ -435,9 +440,18 @@
 func (d *Desk) grant(proxy int, m Move, spent int, now int64) {
 	p := d.proxies[proxy]
 	p.granted, p.grantedAt = true, now
+	moves := 0
+	for _, move := range m.To.Moves {
+		if d.age(move, now) < d.terms.Span {
+			moves++
+		}
+	}
 	recent := slices.DeleteFunc(d.strays[proxy], func(at int64) bool { return now-at >= d.terms.Span })
-	if d.strays[proxy] = append(recent, now); len(recent) > 1 {
-		spent += d.terms.Stray()
+	if d.strays[proxy] = append(recent, now); len(recent) > 0 || now-d.started < d.terms.Span {
+		spent += d.terms.Stray() - 1
+	}
+	if moves <= mostMoves {
+		spent = max(0, min(spent, d.terms.Stray()+d.terms.Own()-d.terms.Kept))
 	}
 	d.host.Granted(proxy, p.token, m.Base, m.Clean, m.Came, spent)
 }
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-var terms = Terms{Lease: 1000, Renew: 100, Span: 10_000, Messages: 36, Members: 3}
+var terms = Terms{Lease: 1000, Renew: 100, Span: 10_000, Messages: 36, Members: 3, Kept: 4}
 
 // place notes what a desk asks for.
 type place struct {
@@ -46,6 +46,7 @@
 	t.Helper()
 	p := newPlace()
 	d := New(p, "n0", terms, 0)
+	d.started = -terms.Span // long ago
 	d.Elapsed(0)
 	p.stands(d, 0)
 	for i, name := range []string{"n1", "n2"} {
@@ -147,7 +148,16 @@
 		if p.stands(d, 210); p.granted[5] != fmt.Sprint("4 false ", terms.Own()) {
 			t.Errorf("granted %v with three others' shares standing", p.granted)
 		}
-		if most := 2*terms.Members*terms.Stray() + (movesKept+1)*terms.Own(); most > terms.Messages {
+		for i := range mostMoves { // and so on: beyond some it has none of its own
+			d.Left(5)
+			d.Recorded(Entry{Member: []string{"n1", "n2"}[i%2], Life: uint64(i%2 + 1), Seq: d.book.Lives[uint64(i%2+1)].Seq + 1, Claims: []int{5},
+				Stamp: Stamp{7, 220 + int64(i)}}, 220)
+		}
+		d.Joined(5, 230)
+		if p.stands(d, 240); p.granted[5] != fmt.Sprint("9 false ", terms.Own()+terms.Stray()-1) {
+			t.Errorf("granted %v after %d moves", p.granted, mostMoves+4)
+		}
+		if most := terms.Members*(terms.Stray()+1) + (movesKept+1)*terms.Own(); most > terms.Messages {
 			t.Errorf("%d messages by all together", most)
 		}
 	})
@@ -158,6 +168,7 @@
 		for i, name := range []string{"n1", "n2", "n1", "n2"} {
 			d.Recorded(Entry{Member: name, Life: uint64(i + 1), Seq: 1, Claims: []int{5}, Stamp: Stamp{7, int64(i)}}, 0)
 		}
+		d.started = -terms.Span
 		d.Joined(5, 0)
 		e := p.proposed[0]
 		e.Stamp = Stamp{7, 11_000}
@@ -169,6 +180,22 @@
 			t.Errorf("granted %v: the others' shares are long over", p.granted)
 		}
 	})
+	t.Run("one that has just started, or has the proxy back, has few messages left of those that need no claim", func(t *testing.T) {
+		p := newPlace()
+		d := New(p, "n0", terms, 0)
+		d.Elapsed(0)
+		d.Elapsed(terms.Lease)
+		d.Joined(5, terms.Lease)
+		if left := terms.Stray() + terms.Own(); p.granted[5] != fmt.Sprint("0 false ", left-terms.Kept) {
+			t.Errorf("granted %v of %d", p.granted, left)
+		}
+		d.Joined(6, 2*terms.Span)
+		d.Left(6)
+		d.Joined(6, 2*terms.Span+5)
+		if left := terms.Stray() + terms.Own(); p.granted[6] != fmt.Sprint("0 false ", left-terms.Kept) {
+			t.Errorf("granted %v of %d", p.granted, left)
+		}
+	})
 	t.Run("one that is heard although another claimed it is claimed again, one that is silent is not", func(t *testing.T) {
 		p, d := works(t)
 		for _, proxy := range []int{4, 5} {
