--- a/cmd/wheelrill/rehearse.go
+++ b/cmd/wheelrill/rehearse.go
@@ -25,6 +25,7 @@
 	top := &cobra.Command{Use: "rehearse", Short: "Play scenarios against real controllers on this machine"}
 	list := &cobra.Command{Use: "list", Short: "List the scenarios", Example: "  wheelrill rehearse list", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) {
+			fmt.Fprintln(c.OutOrStdout(), "calm       nothing goes wrong")
 			fmt.Fprintln(c.OutOrStdout(), "takeover   controllers are killed under load, and come back as new; a worker hangs now and then")
 		}}
 	t := &rehearse.Takeover{}
@@ -34,7 +35,7 @@
 		Long:    "Plays a scenario and judges it. Exit code 0: every rule held; 1: one broke; 2: it could not be judged.",
 		Example: "  wheelrill rehearse run takeover --for 60s --kill-every 6s",
 		RunE: func(c *cobra.Command, args []string) error {
-			if args[0] != "takeover" {
+			if t.Calm = args[0] == "calm"; !t.Calm && args[0] != "takeover" {
 				return unjudged(fmt.Errorf("there is no scenario %q; wheelrill rehearse list names them", args[0]))
 			}
 			switch sharing {
--- a/cmd/wheelrill/rehearse_test.go
+++ b/cmd/wheelrill/rehearse_test.go
@@ -39,6 +39,7 @@
 		{"members freeze, are cut off and leave", rehearse.Takeover{Sharing: true, Faults: "freeze,half,leave"}},
 		{"two die at once, and no majority is left", rehearse.Takeover{Sharing: true, Fenced: true, Faults: "pair,split"}},
 		{"nothing is shared", rehearse.Takeover{}},
+		{"nothing goes wrong", rehearse.Takeover{Sharing: true, Calm: true}},
 	} {
 		t.Run(story.name, func(t *testing.T) {
 			p := story.play
@@ -51,7 +52,7 @@
 			if report.Verdict == rehearse.Unjudged {
 				t.Skip(report.Why)
 			}
-			if report.Verdict != rehearse.Kept || len(report.Faults) == 0 || report.Fulfilled == 0 {
+			if report.Verdict != rehearse.Kept || (len(report.Faults) == 0) != p.Calm || report.Fulfilled == 0 {
 				t.Errorf("got %+v", report)
 			}
 		})
--- a/rehearse/takeover.go
+++ b/rehearse/takeover.go
@@ -30,6 +30,7 @@
 	Sharing   bool
 	Fenced    bool   // relays ask for tokens, and refuse older ones
 	Faults    string // of the kinds below, which are drawn from, with commas
+	Calm      bool   // nothing goes wrong at all
 	Disk      bool   // members keep the record on disk, and come back as who they were
 	Program   string // that is run as a controller
 	Folder    string // for logs and configurations; a temporary one if empty
@@ -93,6 +94,13 @@
 	readyIn      = 30 * time.Second
 )
 
+func (t *Takeover) name() string {
+	if t.Calm {
+		return "calm"
+	}
+	return "takeover"
+}
+
 // channel is what a controller's way to its relays bears: lines a second, and how many may wait. One line to all relays
 // with the head of its message has to fit, wherever they all are.
 func (t *Takeover) channel() (lines, backlog int) {
@@ -148,7 +156,7 @@
 		return nil, err
 	}
 	p := &play{Takeover: t, in: in, folder: folder, random: rand.New(rand.NewPCG(t.Seed, 1)), faults: map[string]int{}, busy: map[*standin.Worker]bool{},
-		report: &Report{Scenario: "takeover", Seed: t.Seed, Sharing: t.Sharing, Instances: t.Instances, Relays: t.Relays, Folder: folder}}
+		report: &Report{Scenario: t.name(), Seed: t.Seed, Sharing: t.Sharing, Instances: t.Instances, Relays: t.Relays, Folder: folder}}
 	if p.events, err = os.Create(filepath.Join(folder, "events.log")); err != nil {
 		in.Close()
 		return nil, err
@@ -294,6 +302,10 @@
 	load, before, began := watchBusy(), p.in.Counts(), time.Now()
 	var left []time.Duration
 	fault, hang, replace := began.Add(p.KillEvery), began.Add(hangEvery/4), began.Add(replaceEvery/4)
+	if p.Calm {
+		never := began.Add(2 * p.For)
+		fault, hang, replace = never, never, never
+	}
 	for ctx.Err() == nil && time.Since(began) < p.For {
 		select {
 		case <-ctx.Done():
