--- a/share/book.go
+++ b/share/book.go
@@ -85,6 +85,7 @@
 	Away    map[string]map[string]Seen `cbor:"5,keyasint"` // by backend and member
 	Came    map[int][]float64          `cbor:"6,keyasint"` // exchanges a second by proxy and class
 	Fits    map[string]Fit             `cbor:"7,keyasint"` // by member
+	Past    map[string][]uint64        `cbor:"8,keyasint"` // lives of each member that are over, the last ones
 }
 
 // Life is a member between its entering and its end.
@@ -139,20 +140,23 @@
 	mostOut  = 256 // lines taken out that a table remembers ...
 	leastOut = 128 // ... and how many are left once there are more
 
-	movesKept = 2 // owners before the present one for whose shares there is room within the span
-	mostMoves = 4 // moves within it up to which an owner has some messages in any case
+	pastKept  = 16 // lives of a member that are known to be over
+	movesKept = 2  // owners before the present one for whose shares there is room within the span
+	mostMoves = 4  // moves within it up to which an owner has some messages in any case
 )
 
 // NewBook makes an empty record.
 func NewBook() *Book {
 	return &Book{Members: map[string]uint64{}, Lives: map[uint64]*Life{}, Proxies: map[int]Holding{},
-		Away: map[string]map[string]Seen{}, Came: map[int][]float64{}, Fits: map[string]Fit{}}
+		Away: map[string]map[string]Seen{}, Came: map[int][]float64{}, Fits: map[string]Fit{},
+		Past: map[string][]uint64{}}
 }
 
 // Take takes in the next entry. It is false for one that was taken in before, and for one of a life that is over: its
 // member has entered anew since, or has closed.
 func (b *Book) Take(e Entry) (moves []Move, taken bool) {
-	if e.Seq == 1 && b.Lives[e.Life] == nil {
+	// A repeat of an entering that was under way for long must not bring back a life that is over.
+	if e.Seq == 1 && b.Lives[e.Life] == nil && !slices.Contains(b.Past[e.Member], e.Life) {
 		b.enter(e)
 	}
 	life := b.Lives[e.Life]
@@ -192,6 +196,10 @@
 }
 
 func (b *Book) enter(e Entry) {
+	if last, ok := b.Members[e.Member]; ok {
+		past := append(b.Past[e.Member], last)
+		b.Past[e.Member] = slices.Clone(past[max(0, len(past)-pastKept):])
+	}
 	b.Members[e.Member] = e.Life
 	b.Lives[e.Life] = &Life{Member: e.Member, Tables: map[int]*Table{}}
 	b.unsee(e.Member) // it has forgotten what it withdrew
--- a/share/desk.go
+++ b/share/desk.go
@@ -63,6 +63,7 @@
 	alone     bool
 	closing   bool
 	started   int64
+	entered   int64 // when a life's entering was last proposed
 
 	edition uint64                     // of our tables
 	tables  map[int]map[string]float64 // as they stand
@@ -274,7 +275,7 @@
 
 func (d *Desk) goAlone(now int64) {
 	d.alone = true
-	d.host.Mode(true, "no entry of ours stands for a lease")
+	d.host.Mode(true, "no entry of ours stands for a lease, or another entered under our name")
 	d.host.Release(d.edition)
 	for _, proxy := range slices.Sorted(maps.Keys(d.proxies)) {
 		if !d.proxies[proxy].granted {
@@ -291,6 +292,12 @@
 	if d.under != nil || !pressing && now-d.last < d.terms.Renew {
 		return
 	}
+	if d.seq == 0 { // two processes of one name would enter by turns as fast as they can
+		if d.entered > 0 && now-d.entered < d.terms.Renew {
+			return
+		}
+		d.entered = now
+	}
 	e := d.next
 	if d.next = (Entry{}); d.seq > 0 && e.Edition == 0 {
 		e.Edition = d.edition
@@ -332,6 +339,9 @@
 	d.hears(e.Stamp, now)
 	moves, taken := d.book.Take(e)
 	if !taken {
+		if e.Life == d.life && d.book.Members[d.name] != d.life { // another has entered under our name
+			d.goAlone(now)
+		}
 		return
 	}
 	for _, m := range moves {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -284,6 +284,28 @@
 			t.Errorf("lives %v, moves %+v", b.Lives, moves)
 		}
 	})
+	t.Run("a repeat of an entering brings no life back that is over, also one that is forgotten", func(t *testing.T) {
+		b := NewBook()
+		b.Take(Entry{Member: "n0", Life: 1, Seq: 1})
+		b.Take(Entry{Member: "n0", Life: 2, Seq: 1})
+		if _, taken := b.Take(Entry{Member: "n0", Life: 1, Seq: 1}); taken || b.Members["n0"] != 2 || b.Lives[1] != nil {
+			t.Errorf("the life is %d of %v", b.Members["n0"], b.Lives)
+		}
+		for life := uint64(3); life < 99; life++ {
+			b.Take(Entry{Member: "n0", Life: life, Seq: 1})
+		}
+		if len(b.Past["n0"]) != pastKept {
+			t.Errorf("%d lives are kept", len(b.Past["n0"]))
+		}
+	})
+	t.Run("one whose entries are not taken in, as another entered under its name, goes off the record", func(t *testing.T) {
+		p, d := works(t)
+		d.Recorded(Entry{Member: "n0", Life: 77, Seq: 1}, 50)
+		d.Elapsed(terms.Renew)
+		if p.stands(d, terms.Renew); !slices.Contains(p.modes, true) || d.life == 1000 {
+			t.Errorf("modes %v, life %d", p.modes, d.life)
+		}
+	})
 	t.Run("a withdrawal stands until its member takes it back, or enters anew", func(t *testing.T) {
 		p := newPlace()
 		d := New(p, "n0", terms, 0)
