Who asks and closes is answered, a refusal survives unread bytes, a flood makes room at once

Cause 1: peer.run ended the connection as soon as its reader did, so an answer in the mailbox was lost when the peer closed its side after its last word; before readiness it always was. Now the writer empties the mailbox first (settle), within the time that a stranger has, or 20 ms for one that joined. Cause 2: a refusal was written and the connection closed with bytes unread, which the kernel turns into a reset. Now our side is closed and what still comes is read for 200 ms, 20 ms where room is short, 1 MiB at most. Cause 3: server.hurry looked at the oldest strangers only, also when they had been asked before: a flood of silent ones came in at one for each 20 ms. Now each look asks as many more as are needed. A newcomer that is refused counts as a stranger until it is gone. Cause 4: a write deadline that passed while the process stood still ended the stream. Now what the connection takes in a last look counts.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -347,6 +347,7 @@
 	c.limits.watch, c.limits.watchOver = 50*time.Millisecond, time.Second
 	if change != nil {
 		change(c.limits)
+		c.log.quiet = c.limits.quiet
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -43,6 +43,7 @@
 	first      time.Duration // from accept on, for a connection to say who it is
 	moment     time.Duration // that it has for this at least, however many others come
 	lastLook   time.Duration // that what had arrived by then is read, and that a last word may take
+	linger     time.Duration // that what a refused stranger still sends is read
 	write      time.Duration // for one message to leave
 	dial       time.Duration // for a connection to discovery to come up
 	watch      time.Duration // that discovery may wait for something new
@@ -65,8 +66,9 @@
 		frame: 1 << 20, firstFrame: 16 << 10, parts: 64, keptBuffer: 64 << 10,
 		mailbox: 4096, turn: 1024, outgoing: 64, marks: 256, body: 16 << 20,
 		first: 1500 * time.Millisecond, moment: 50 * time.Millisecond, lastLook: 20 * time.Millisecond,
-		write: 10 * time.Second,
-		dial:  500 * time.Millisecond, watch: 2 * time.Second, watchOver: time.Second,
+		linger: 200 * time.Millisecond,
+		write:  10 * time.Second,
+		dial:   500 * time.Millisecond, watch: 2 * time.Second, watchOver: time.Second,
 		retryLeast: 50 * time.Millisecond, retryMost: time.Second, vain: 5,
 		farewell: 400 * time.Millisecond, quiet: 10 * time.Second, sorts: 1024, still: second, proxyRate: 1000, busy: 100, queue: 1e6,
 	}
--- a/controller/peer.go
+++ b/controller/peer.go
@@ -76,9 +76,11 @@
 	came   time.Time // when it was accepted
 	looked bool      // its deadline has passed, and what had arrived by then is being read
 
-	hurried bool // of the server: it was asked to make room
+	hurried atomic.Bool // it was asked to make room
 
 	mail  chan []byte
+	last  chan struct{} // closed when the reader has ended: what waits in the mailbox is all that is still owed
+	waits bool          // and may wait for readiness; set before last is closed
 	ended chan struct{}
 	once  sync.Once
 	why   error        // set before ended is closed
@@ -87,13 +89,22 @@
 
 func newPeer(conn net.Conn, serial int, m *module, known func(*peer) error) *peer {
 	p := &peer{conn: conn, serial: serial, limits: m.limits, module: m, log: m.log, known: known, node: -1, zone: -1,
-		came: time.Now(), mail: make(chan []byte, m.limits.outgoing), ended: make(chan struct{})}
+		came: time.Now(), mail: make(chan []byte, m.limits.outgoing), last: make(chan struct{}),
+		ended: make(chan struct{})}
 	conn.SetReadDeadline(p.came.Add(m.limits.first)) // the one deadline until it has said who it is
 	return p
 }
 
 // hurry has a stranger judged by what has arrived of it.
-func (p *peer) hurry() { p.conn.SetReadDeadline(p.came) }
+func (p *peer) hurry() {
+	p.hurried.Store(true)
+	p.conn.SetReadDeadline(p.came)
+	select {
+	case <-p.last: // nobody reads any more, and an answer may wait for readiness
+		time.AfterFunc(p.limits.lastLook, func() { p.end(errStranger) })
+	default:
+	}
+}
 
 // Read reads from the connection. When the deadline has passed, what arrived by then is still read: it may be we who
 // stood still.
@@ -131,14 +142,18 @@
 	}
 }
 
-// run plays the peer until its connection ends. A stranger is told why.
+// run plays the peer until its connection ends, and pays first what is owed to one that is not broken: the answers to
+// what it asked, and to a stranger the reason why it is refused.
 func (p *peer) run() {
 	var writer sync.WaitGroup
 	writer.Go(p.write)
 	err := p.read()
-	if p.kind == stranger && !errors.Is(err, io.EOF) {
-		p.conn.SetWriteDeadline(time.Now().Add(p.limits.lastLook))
-		p.conn.Write(refusal(err))
+	asked := err == io.EOF // it has said its last, and may still listen
+	if asked || p.kind == stranger {
+		p.settle(&writer, err, asked && p.kind != proxy)
+	}
+	if p.kind == stranger && !asked {
+		p.refuse(err)
 	}
 	p.end(err)
 	writer.Wait()
@@ -147,23 +162,95 @@
 	}
 }
 
-// write sends what waits. Nothing leaves before the module can decide, the answer to a probe among it.
+// settle lets the writer send what waits in the mailbox, for as long as a stranger has at most.
+func (p *peer) settle(writer *sync.WaitGroup, why error, waits bool) {
+	p.waits = waits
+	close(p.last)
+	moment := max(p.limits.lastLook, time.Until(p.came.Add(p.limits.first)))
+	if p.hurried.Load() {
+		moment = p.limits.lastLook
+	}
+	late := time.AfterFunc(moment, func() { p.end(why) })
+	defer late.Stop()
+	writer.Wait()
+}
+
+// refuse gives a stranger the reason, and then reads on for a moment: a close with bytes unread is a reset, and a reset
+// can overtake the reason.
+func (p *peer) refuse(why error) {
+	moment := p.limits.linger
+	if p.hurried.Load() {
+		moment = p.limits.lastLook
+	}
+	p.conn.SetWriteDeadline(time.Now().Add(p.limits.lastLook))
+	if _, err := p.conn.Write(refusal(why)); err != nil {
+		return
+	}
+	if half, ok := p.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		p.conn.SetReadDeadline(time.Now().Add(moment))
+		io.CopyN(io.Discard, p.conn, int64(p.limits.frame))
+	}
+}
+
+// write sends what waits, until the connection ends or, when the reader has, the mailbox is empty. Nothing leaves before
+// the module can decide, the answer to a probe among it.
 func (p *peer) write() {
 	select {
 	case <-p.module.ready:
 	case <-p.ended:
 		return
-	}
-	for {
+	case <-p.last:
+		if len(p.mail) == 0 || !p.waits {
+			return
+		}
 		select {
+		case <-p.module.ready:
 		case <-p.ended:
 			return
-		case message := <-p.mail:
-			p.conn.SetWriteDeadline(time.Now().Add(p.limits.write))
-			if _, err := p.conn.Write(message); err != nil {
-				p.end(fmt.Errorf("write: %w", err))
-				return
-			}
+		}
+	}
+	for message := p.next(); message != nil; message = p.next() {
+		if err := p.deliver(message); err != nil {
+			p.end(fmt.Errorf("write: %w", err))
+			return
+		}
+	}
+}
+
+// next waits for a message; nil says that there will be none.
+func (p *peer) next() []byte {
+	select {
+	case <-p.ended:
+		return nil
+	case message := <-p.mail:
+		return message
+	case <-p.last:
+	}
+	select {
+	case message := <-p.mail:
+		return message
+	default:
+		return nil
+	}
+}
+
+// deliver writes a message. When the deadline has passed, what the connection takes all the same still counts: it may
+// be we who stood still.
+func (p *peer) deliver(message []byte) error {
+	wait := p.limits.write
+	for {
+		p.conn.SetWriteDeadline(time.Now().Add(wait))
+		n, err := p.conn.Write(message)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, errTimeout) || n == 0 && wait == p.limits.lastLook {
+			return err
+		}
+		if message = message[n:]; wait == p.limits.lastLook {
+			wait = p.limits.write
+		} else {
+			wait = p.limits.lastLook
 		}
 	}
 }
--- a/controller/server.go
+++ b/controller/server.go
@@ -88,14 +88,18 @@
 	return false
 }
 
-// hurry has the oldest strangers judged by what has arrived of them, if they had a moment to speak.
+// hurry has so many more of the oldest strangers judged by what has arrived of them, if they had a moment to speak.
+// Those that were asked before are on their way out, and a flood must not come in only as fast as one goes.
 func (s *server) hurry(many int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, p := range s.strangers[:min(many, len(s.strangers))] {
-		if time.Since(p.came) >= s.limits.moment && !p.hurried {
-			p.hurried = true
+	for _, p := range s.strangers {
+		if many <= 0 || time.Since(p.came) < s.limits.moment {
+			return
+		}
+		if !p.hurried.Load() {
 			p.hurry()
+			many--
 		}
 	}
 }
@@ -106,7 +110,6 @@
 func (s *server) identified(p *peer) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.strangers = without(s.strangers, p)
 	same := 1
 	for _, other := range slices.Backward(slices.Clone(s.known)) {
 		if other.kind != p.kind || other.node != p.node || other.zone != p.zone && p.kind == collector {
@@ -123,7 +126,7 @@
 	if len(s.known) >= s.limits.lasting {
 		return errBudget
 	}
-	s.known = append(s.known, p)
+	s.strangers, s.known = without(s.strangers, p), append(s.known, p)
 	return nil
 }
 
