Ready within 5 s whatever discovery does; a shutdown that no step can hold up; a list that goes quiet

Readiness: module.listed was the only way to be ready, and asked for an entry: with an empty list, a silent discovery or changes to nothing a controller never was.

Shutdown: SIGTERM was caught only after the configuration had been read, a read that never returns (a pipe) held the start and the end up, the default came back before the process had ended, and a dial to discovery that nobody answers took its 500 ms. The last is tested by a loop of signals, which cannot force the instant.

List: an answer that was complete when the list moved elsewhere was still taken (watch); changes were taken for the whole list that had been asked for; a discovery that ends watches at once was asked without a pause.

The story 'while it fails what was known stays' answered a call for the whole list with changes, which the protocol does not have; it answers with the whole list now, and 'changes are not taken for the whole list' stands beside it.

--- /dev/null
+++ b/cmd/wheelrill/ending_test.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second // bounds what a story waits for
+
+// process is the program itself, with its log line by line.
+type process struct {
+	*exec.Cmd
+	said chan string
+}
+
+func starts(t *testing.T, configuration string) *process {
+	t.Helper()
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{exec.Command(program), make(chan string, 1024)}
+	p.Env = append(os.Environ(), asProgram+"=yes", "LB_CONFIG="+configuration, "LB_DISCOVERY=127.0.0.1:7", "LB_LISTEN=127.0.0.1:0")
+	log, err := p.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Process.Kill() })
+	go func() {
+		defer close(p.said)
+		for lines := bufio.NewScanner(log); lines.Scan(); {
+			p.said <- lines.Text()
+		}
+	}()
+	return p
+}
+
+func (p *process) waits(t *testing.T, some string) {
+	t.Helper()
+	late := time.After(patience)
+	for {
+		select {
+		case line, open := <-p.said:
+			if !open {
+				t.Fatalf("it ended without %q", some)
+			}
+			if strings.Contains(line, some) {
+				return
+			}
+		case <-late:
+			t.Fatalf("no line %q", some)
+		}
+	}
+}
+
+// ends waits for the process, which must end by itself, with code 0 and before the platform kills it.
+func (p *process) ends(t *testing.T, since time.Time) {
+	t.Helper()
+	for range p.said { // until its log is closed
+	}
+	if err := p.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if spent := time.Since(since); spent > 700*time.Millisecond {
+		t.Errorf("it took %v", spent)
+	}
+}
+
+// pipe is a file that is open for reading and never filled, once held is called.
+func pipe(t *testing.T, path string) (held func()) {
+	t.Helper()
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return func() {
+		file, err := os.OpenFile(path, os.O_WRONLY, 0) // waits for who reads
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { file.Close() })
+	}
+}
+
+func TestSIGTERM(t *testing.T) {
+	sample, err := filepath.Abs("../../deploy/sample.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Run("while the configuration is read", func(t *testing.T) {
+		path := filepath.Join(t.TempDir(), "config.json")
+		held := pipe(t, path)
+		p := starts(t, path)
+		held()
+		began := time.Now()
+		p.Process.Signal(syscall.SIGTERM)
+		p.ends(t, began)
+	})
+	t.Run("while a reload reads", func(t *testing.T) {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.Symlink(sample, path); err != nil {
+			t.Fatal(err)
+		}
+		p := starts(t, path)
+		p.waits(t, "event=serving")
+		os.Remove(path)
+		held := pipe(t, path)
+		p.Process.Signal(syscall.SIGHUP)
+		held()
+		began := time.Now()
+		p.Process.Signal(syscall.SIGTERM)
+		p.ends(t, began)
+	})
+	t.Run("before discovery has answered, and again and again until the end", func(t *testing.T) {
+		p := starts(t, sample)
+		p.waits(t, "event=serving")
+		began, over := time.Now(), make(chan struct{})
+		go func() {
+			defer close(over)
+			for p.Process.Signal(syscall.SIGTERM) == nil {
+			}
+		}()
+		p.ends(t, began)
+		<-over
+	})
+}
--- a/cmd/wheelrill/main.go
+++ b/cmd/wheelrill/main.go
@@ -9,8 +9,8 @@
 )
 
 func main() {
-	again := hangUps()
-	if err := root(again).Execute(); err != nil {
+	ctx, again := ending(), hangUps() // first of all: a signal that nobody catches kills
+	if err := root(ctx, again).Execute(); err != nil {
 		var code exit
 		if errors.As(err, &code) {
 			os.Exit(int(code))
--- a/cmd/wheelrill/rehearse.go
+++ b/cmd/wheelrill/rehearse.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -21,7 +19,7 @@
 	exitUnjudged = 2
 )
 
-func rehearsals() *cobra.Command {
+func rehearsals(ctx context.Context) *cobra.Command {
 	top := &cobra.Command{Use: "rehearse", Short: "Play scenarios against real controllers on this machine"}
 	list := &cobra.Command{Use: "list", Short: "List the scenarios", Example: "  wheelrill rehearse list", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) {
@@ -55,8 +53,6 @@
 					fmt.Fprintf(os.Stderr, "%6.1f s of %s  %s\n", time.Since(began).Seconds(), t.For, text)
 				}
 			}
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-			defer stop()
 			report, err := t.Run(ctx)
 			if err != nil {
 				return unjudged(err)
--- a/cmd/wheelrill/rehearse_test.go
+++ b/cmd/wheelrill/rehearse_test.go
@@ -75,7 +75,7 @@
 	}
 	for _, args := range [][]string{{"rehearse", "run", "nothing"}, {"rehearse", "run", "takeover", "--sharing", "some"},
 		{"rehearse", "run", "takeover", "--instances", "1"}} {
-		top := root(nil)
+		top := root(t.Context(), nil)
 		top.SetArgs(args)
 		var code exit
 		if err := top.Execute(); !errors.As(err, &code) || code != exitUnjudged {
@@ -90,10 +90,10 @@
 		t.Fatal(err)
 	}
 	t.Setenv("LB_CONFIG", "../../deploy/sample.json")
-	if err := run(nil, path, nil); err == nil || !strings.Contains(err.Error(), "w.yaml:2: member: unknown field") {
+	if err := run(t.Context(), nil, path, nil); err == nil || !strings.Contains(err.Error(), "w.yaml:2: member: unknown field") {
 		t.Errorf("got %v", err)
 	}
-	if err := run(nil, "../../deploy/none.yaml", nil); err == nil || !strings.Contains(err.Error(), "cannot be read") {
+	if err := run(t.Context(), nil, "../../deploy/none.yaml", nil); err == nil || !strings.Contains(err.Error(), "cannot be read") {
 		t.Errorf("got %v", err)
 	}
 	if shipped, err := os.ReadFile("../../deploy/wheelrill.yaml"); err != nil || len(shipped) == 0 {
--- a/cmd/wheelrill/serve.go
+++ b/cmd/wheelrill/serve.go
@@ -19,9 +19,11 @@
 	"wheelrill/replica"
 )
 
-func root(again <-chan os.Signal) *cobra.Command {
+func root(ctx context.Context, again <-chan os.Signal) *cobra.Command {
 	var path string
-	start := func(*cobra.Command, []string) error { return logged(run(again, path, controller.Journal(os.Stderr))) }
+	start := func(*cobra.Command, []string) error {
+		return logged(run(ctx, again, path, controller.Journal(os.Stderr)))
+	}
 	top := &cobra.Command{Use: "wheelrill", Short: "Assigns exchanges to backends; without a command it serves",
 		Long: "wheelrill is one controller: proxies and collectors connect to it, it follows discovery, and tells proxies where\n" +
 			"exchanges go. Without a command it serves as LB_CONFIG says.",
@@ -29,10 +31,17 @@
 	serve := &cobra.Command{Use: "serve", Short: "Serve until SIGTERM",
 		Example: "  LB_CONFIG=deploy/sample.json wheelrill serve --options deploy/wheelrill.yaml", Args: cobra.NoArgs, RunE: start}
 	serve.Flags().StringVar(&path, "options", "", "YAML file of what is switched on beside LB_CONFIG")
-	top.AddCommand(serve, rehearsals())
+	top.AddCommand(serve, rehearsals(ctx))
 	return top
 }
 
+// ending gives a context that ends with the first SIGTERM or interrupt. Those that follow change nothing, to the very
+// end of the process.
+func ending() context.Context {
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	return ctx
+}
+
 // hangUps catches SIGHUP from now on; several that wait are one.
 func hangUps() <-chan os.Signal {
 	again := make(chan os.Signal, 1)
@@ -49,8 +58,8 @@
 	return nil
 }
 
-// run serves until SIGTERM or an interrupt; each SIGHUP has the configuration read anew.
-func run(again <-chan os.Signal, path string, log *slog.Logger) error {
+// run serves until the context ends; each SIGHUP has the configuration read anew.
+func run(ctx context.Context, again <-chan os.Signal, path string, log *slog.Logger) error {
 	given := &options.File{}
 	if path != "" {
 		var err error
@@ -58,8 +67,11 @@
 			return err
 		}
 	}
-	configuration, err := read()
-	if err != nil {
+	configuration, err := read(ctx)
+	switch {
+	case ctx.Err() != nil:
+		return nil
+	case err != nil:
 		return err
 	}
 	c, err := controller.New(controller.Place{Name: os.Getenv("LB_NAME"), Listen: os.Getenv("LB_LISTEN"),
@@ -78,7 +90,7 @@
 	if c.Memory() > 0 {
 		debug.SetMemoryLimit(c.Memory() / 4 * 3)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := context.WithCancel(ctx)
 	var reloads sync.WaitGroup
 	defer reloads.Wait()
 	defer stop()
@@ -88,27 +100,43 @@
 			case <-ctx.Done():
 				return
 			case <-again:
-				reload(c, log)
+				reload(ctx, c, log)
 			}
 		}
 	})
 	return c.Serve(ctx)
 }
 
-func read() ([]byte, error) {
+// read reads the configuration until the context ends. Opening or reading a file may never return, as with a pipe that
+// nobody fills; what is left of it then ends with the process.
+func read(ctx context.Context) ([]byte, error) {
 	path := os.Getenv("LB_CONFIG")
 	if path == "" {
 		return nil, errors.New("LB_CONFIG is not set; give the path of a configuration, as deploy/sample.json")
 	}
-	configuration, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	var configuration []byte
+	done := make(chan error, 1)
+	go func() {
+		var err error
+		configuration, err = os.ReadFile(path)
+		done <- err
+	}()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case err := <-done:
+		if err != nil {
+			return nil, fmt.Errorf("LB_CONFIG: %w", err)
+		}
+		return configuration, nil
 	}
-	return configuration, nil
 }
 
-func reload(c *controller.Controller, log *slog.Logger) {
-	configuration, err := read()
+func reload(ctx context.Context, c *controller.Controller, log *slog.Logger) {
+	configuration, err := read(ctx)
+	if ctx.Err() != nil {
+		return
+	}
 	if err == nil {
 		err = c.Reload(configuration)
 	}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -727,7 +727,7 @@
 		if err := h.apply(p.gets()); err != nil || len(h.picks(0)) != 2 {
 			t.Errorf("error %v, got %+v", err, h)
 		}
-		d.answers <- listing(2, false, backendIs(5, "up"))
+		d.answers <- listing(2, true, backendIs(0, "up"), backendIs(1, "up"), backendIs(5, "up")) // all was asked for by now
 		for len(h.picks(0)) != 3 {
 			if err := h.apply(p.gets()); err != nil {
 				t.Fatal(err)
--- a/controller/endings_test.go
+++ b/controller/endings_test.go
@@ -2,10 +2,19 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
+	"os"
+	"regexp"
+	"runtime"
+	"slices"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,12 +52,9 @@
 
 func helloOf(node int) string { return strings.Replace(hello, "3", fmt.Sprint(node), 1) }
 
-// withholds is a discovery that says nothing until the story does.
-func withholds(t *testing.T) *discovery { return discovers(t) }
-
 func TestCloses(t *testing.T) {
 	t.Run("who asks and closes its side at once is answered, though not before readiness", func(t *testing.T) {
-		d := withholds(t)
+		d := discovers(t)
 		address, said := serves(t, d.address, listing(0, true), func(l *limits) { l.first = patience })
 		asks := calls(t, address)
 		asks.says(probe)
@@ -62,7 +68,7 @@
 		}
 	})
 	t.Run("an answer that waits for readiness holds nothing longer than a stranger may stay", func(t *testing.T) {
-		address, _ := serves(t, withholds(t).address, listing(0, true), func(l *limits) { l.first = 50 * time.Millisecond })
+		address, _ := serves(t, discovers(t).address, listing(0, true), func(l *limits) { l.first = 50 * time.Millisecond })
 		asks := calls(t, address)
 		asks.says(probe)
 		asks.half()
@@ -209,3 +215,393 @@
 		}
 	})
 }
+
+func TestLateAndMany(t *testing.T) {
+	t.Run("who comes between listen and readiness is served once the list is there", func(t *testing.T) {
+		d := discovers(t)
+		address, said := serves(t, d.address, listing(0, true), nil)
+		p, q, h := calls(t, address), calls(t, address), newHearer("read it", "write")
+		p.says(hello)
+		p.says(probe)
+		q.says(probe)
+		said.waits(t, "event=joined node=3", 1)
+		d.answers <- two
+		q.gets()
+		if got := string(p.gets()[headSize:]); got != isAlive {
+			t.Errorf("first it got %q", got)
+		}
+		if err := h.apply(p.gets()); err != nil || len(h.picks(0)) != 2 || len(h.picks(1)) != 2 {
+			t.Errorf("error %v, picks %v", err, h.lines)
+		}
+	})
+	t.Run("a flood of silent strangers makes room as fast as it comes", func(t *testing.T) {
+		// One after the other would take 200 times the last look, which is all the patience there is.
+		address, _ := serves(t, discovers(t).address, two, func(l *limits) {
+			l.strange, l.first, l.moment, l.lastLook = 40, patience, time.Millisecond, patience/200
+		})
+		for range 200 {
+			calls(t, address)
+		}
+		var proxies []*caller
+		for node := range 40 {
+			p := calls(t, address)
+			p.says(helloOf(node))
+			proxies = append(proxies, p)
+		}
+		for _, p := range proxies {
+			p.gets()
+		}
+	})
+	t.Run("lying, slow and one-byte clients end within their time, and keep no proxy out", func(t *testing.T) {
+		address, _ := serves(t, discovers(t).address, two, func(l *limits) { l.first, l.strange = 300*time.Millisecond, 60 })
+		var odd []*caller
+		for i := range 120 {
+			c := calls(t, address)
+			switch i % 4 {
+			case 0:
+				c.Write(framed(hello)[:1])
+			case 1:
+				c.Write([]byte{0, 0, 64, 0}) // the most that a stranger may announce, and nothing of it
+			case 2:
+				c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+			}
+			odd = append(odd, c)
+		}
+		for node := range 40 {
+			p := calls(t, address)
+			p.says(helloOf(node))
+			p.gets()
+		}
+		for _, c := range odd {
+			if !c.refused() {
+				t.Error("one of them stayed")
+			}
+		}
+	})
+	t.Run("connections in the instant of the end are closed, whether they were accepted or not", func(t *testing.T) {
+		for range 10 {
+			c, err := New(Place{}, configuration(discovers(t).address, two), Journal(io.Discard))
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			said := newDiary()
+			c.log.to = Journal(said)
+			ended := make(chan error, 1)
+			go func() { ended <- c.Serve(ctx) }()
+			said.waits(t, "event=serving", 1)
+			text, _ := said.read()
+			address := regexp.MustCompile(`event=serving .* listen=(\S+)`).FindStringSubmatch(text)[1]
+			var all sync.WaitGroup
+			for i := range 40 {
+				all.Go(func() {
+					if i == 20 {
+						stop()
+					}
+					conn, err := net.DialTimeout("tcp", address, patience)
+					if err != nil {
+						return // refused: it goes elsewhere
+					}
+					defer conn.Close()
+					conn.Write(framed(helloOf(i)))
+					conn.SetReadDeadline(time.Now().Add(patience))
+					if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+						t.Error("one was left open")
+					}
+				})
+			}
+			all.Wait()
+			if err := <-ended; err != nil {
+				t.Errorf("ended with %v", err)
+			}
+		}
+	})
+}
+
+func TestShutdown(t *testing.T) {
+	t.Run("before it listens it does not begin", func(t *testing.T) {
+		c, err := New(Place{}, configuration("127.0.0.1:9", two), Journal(io.Discard))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		stop()
+		if err := c.Serve(ctx); err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	})
+	t.Run("a discovery that takes no connection holds nothing up", func(t *testing.T) {
+		serves(t, deaf(t), two, func(l *limits) { l.dial = patience }) // and ends with the story
+	})
+	t.Run("a peer that reads nothing holds nothing up, and no order leaves that was not counted", func(t *testing.T) {
+		m, _ := begin(t)
+		ctx, stop := context.WithCancel(t.Context())
+		here, there := net.Pipe()
+		short := &shortOf{Listener: &net.TCPListener{}, conns: []net.Conn{here}, done: ctx.Done()}
+		ended, ran := make(chan error, 1), make(chan struct{})
+		s := &server{limits: m.limits, module: m, log: m.log}
+		go func() { defer close(ran); m.run(ctx) }()
+		go func() { ended <- s.run(ctx, short) }()
+		there.Write(framed(hello))
+		first := make([]byte, 1) // the order is being written, and goes no further
+		there.Read(first)
+		stop()
+		if err := <-ended; err != nil {
+			t.Errorf("ended with %v", err)
+		}
+		<-ran
+		if more, _ := io.ReadAll(there); len(more) > 0 {
+			t.Errorf("%d more bytes came", len(more))
+		}
+		if len(s.strangers)+len(s.known) > 0 {
+			t.Errorf("%d strangers, %d known in the end", len(s.strangers), len(s.known))
+		}
+	})
+	t.Run("no goroutine is left", func(t *testing.T) {
+		before := runtime.NumGoroutine()
+		t.Run("of one with proxies, collectors, strangers and a reload under way", func(t *testing.T) {
+			d, next := discovers(t), discovers(t)
+			d.answers <- "silence"
+			c, address, _ := runs(t, d.address, two, func(l *limits) { l.watchOver = patience })
+			for node := range 5 {
+				p := calls(t, address)
+				p.says(helloOf(node))
+				p.gets()
+				calls(t, address).says(agent)
+				calls(t, address)
+			}
+			if err := c.Reload(configuration(next.address, "null")); err != nil {
+				t.Fatal(err)
+			}
+		})
+		for late := time.Now().Add(patience); runtime.NumGoroutine() > before; runtime.Gosched() {
+			if time.Now().After(late) {
+				stacks := make([]byte, 1<<16)
+				t.Fatalf("%d before, %d after:\n%s", before, runtime.NumGoroutine(), stacks[:runtime.Stack(stacks, true)])
+			}
+		}
+	})
+}
+
+// deaf is an address on which connections are neither taken nor refused.
+func deaf(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	for { // until its backlog is full
+		conn, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+}
+
+func TestReadiness(t *testing.T) {
+	const atOnce, answered, waited = "the list is known", "discovery has answered", "nothing is known, and discovery keeps silent"
+	for _, story := range []struct {
+		what, known string
+		answers     []string
+		refuses     bool
+		why         string
+		picks       int // backends in the table that a proxy gets
+	}{
+		{"discovery answers, known is there", two, []string{listing(2, true, backendIs(0, "up"))}, false, atOnce, -1},
+		{"discovery is silent, known is there", two, []string{"silence"}, false, atOnce, 2},
+		{"discovery refuses, known is there", two, nil, true, atOnce, 2},
+		{"discovery answers an older version, known is there", listing(9, true, backendIs(0, "up")), []string{two}, false, atOnce, 1},
+		{"discovery answers, known is missing", "null", []string{two}, false, atOnce, 2},
+		{"discovery answers, known is unusable", `{"version":3}`, []string{two}, false, atOnce, 2},
+		{"discovery answers, known is no object", `7`, []string{two}, false, atOnce, 2},
+		{"discovery answers an empty list", "null", []string{listing(4, true)}, false, answered, 0},
+		{"discovery answers an empty list, known is empty", listing(0, true), []string{listing(4, true)}, false, answered, 0},
+		{"discovery is silent, known is missing", "null", []string{"silence"}, false, waited, 0},
+		{"discovery refuses, known is missing", "null", nil, true, waited, 0},
+		{"discovery answers changes to nothing", "null", slices.Repeat([]string{listing(3, false, backendIs(0, "up"))}, 16), false, waited, 0},
+		{"discovery is cut in mid-body, then answers", "null", []string{"half" + two, two}, false, atOnce, 2},
+		{"discovery is reset, then fails, then answers", "null", []string{"reset", "status 500", "{", two}, false, atOnce, 2},
+	} {
+		t.Run(story.what, func(t *testing.T) {
+			d := discovers(t)
+			for _, text := range story.answers {
+				d.answers <- text
+			}
+			address := d.address
+			if story.refuses {
+				address = refusing(t)
+			}
+			at, said := serves(t, address, story.known, func(l *limits) {
+				if l.patience = patience; story.why == waited {
+					l.patience = 300 * time.Millisecond
+				}
+			})
+			c, p, h := calls(t, at), calls(t, at), newHearer("read it", "write")
+			c.says(probe) // it waits since before readiness
+			if got := string(c.gets()[headSize:]); got != isAlive {
+				t.Errorf("answered %q", got)
+			}
+			said.waits(t, "event=ready", 1)
+			if text, _ := said.read(); !strings.Contains(text, fmt.Sprintf("why=%q", story.why)) {
+				t.Errorf("ready for another reason: %s", text)
+			}
+			p.says(hello)
+			if story.picks == 0 { // nothing is ordered, and it is served
+				p.says(probe)
+				if got := string(p.gets()[headSize:]); got != isAlive {
+					t.Errorf("got %q", got)
+				}
+				return
+			}
+			if err := h.apply(p.gets()); err != nil || story.picks > 0 && len(h.picks(0)) != story.picks {
+				t.Errorf("error %v, picks %v", err, h.picks(0))
+			}
+		})
+	}
+	t.Run("the list that comes after readiness is ordered to who has joined meanwhile", func(t *testing.T) {
+		d := discovers(t)
+		address, said := serves(t, d.address, "null", func(l *limits) { l.patience = time.Millisecond })
+		p, h := calls(t, address), newHearer("read it", "write")
+		p.says(hello)
+		said.waits(t, "event=joined", 1)
+		d.answers <- two
+		if err := h.apply(p.gets()); err != nil || len(h.picks(0)) != 2 || len(h.picks(1)) != 2 {
+			t.Errorf("error %v, picks %v", err, h.lines)
+		}
+	})
+}
+
+// refusing is an address at which nobody listens.
+func refusing(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// handed is a connection that gives a whole text, and in that instant has something else happen.
+type handed struct {
+	net.Conn
+	text string
+	then func()
+}
+
+func (h *handed) Read(b []byte) (int, error) {
+	if h.text == "" {
+		return 0, io.EOF
+	}
+	n := copy(b, h.text)
+	if h.text = h.text[n:]; h.text == "" {
+		h.then()
+	}
+	return n, nil
+}
+func (h *handed) Write(b []byte) (int, error)      { return len(b), nil }
+func (h *handed) Close() error                     { return nil }
+func (h *handed) SetDeadline(time.Time) error      { return nil }
+func (h *handed) SetReadDeadline(time.Time) error  { return nil }
+func (h *handed) SetWriteDeadline(time.Time) error { return nil }
+func (h *handed) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
+func (h *handed) LocalAddr() net.Addr              { return &net.TCPAddr{} }
+
+func TestQuietList(t *testing.T) {
+	// follows has a proxy joined that hears what the list says.
+	follows := func(t *testing.T, d *discovery, known string) (*caller, *hearer, *diary) {
+		address, said := serves(t, d.address, known, func(l *limits) { l.retryLeast, l.retryMost, l.quiet = 1, 1, 0 })
+		p, h := calls(t, address), newHearer("read it", "write")
+		p.says(hello)
+		if err := h.apply(p.gets()); err != nil {
+			t.Fatal(err)
+		}
+		return p, h, said
+	}
+	until := func(t *testing.T, p *caller, h *hearer, picks ...string) {
+		t.Helper()
+		for !slices.Equal(h.picks(0), picks) || !slices.Equal(h.picks(1), picks) {
+			if err := h.apply(p.gets()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	t.Run("an answer of the former address does not overrule the newer one", func(t *testing.T) {
+		taken := 0
+		l := newList("127.0.0.1:1", usualLimits(), newJournal(slog.New(slog.DiscardHandler), time.Second, 9),
+			func(bool, int64, []*fastjson.Value) { taken++ }, func() { taken++ })
+		body := listing(50, true, backendIs(0, "up"))
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		l.client.Dial = func(string) (net.Conn, error) {
+			return &handed{text: answer, then: func() { l.follow("127.0.0.1:2", nil) }}, nil
+		}
+		if err := l.watch(); !errors.Is(err, errMoved) || taken != 0 || l.some {
+			t.Errorf("error %v, taken %d times, version %d", err, taken, l.version)
+		}
+	})
+	t.Run("a drain told in the very answer that dies is told by the next", func(t *testing.T) {
+		d := discovers(t)
+		p, h, _ := follows(t, d, two)
+		drain := listing(2, false, backendIs(0, "draining"))
+		d.answers <- "half" + drain[:len(drain)-9]
+		d.answers <- "reset"
+		d.answers <- drain
+		until(t, p, h, "s-1")
+	})
+	t.Run("a version told twice, one skipped, and one that goes back", func(t *testing.T) {
+		d := discovers(t)
+		var five []string
+		for b := range 5 {
+			five = append(five, backendIs(b, "up"))
+		}
+		p, h, said := follows(t, d, listing(1, true, five...))
+		d.answers <- listing(2, false, backendIs(0, "draining"))
+		d.answers <- listing(2, false, backendIs(0, "draining"))
+		until(t, p, h, "s-1", "s-2", "s-3", "s-4")
+		d.answers <- listing(7, false, backendIs(1, "removed"))
+		until(t, p, h, "s-2", "s-3", "s-4")
+		d.answers <- listing(5, false, backendIs(0, "up"), backendIs(1, "up"))
+		said.waits(t, "version 5 is older than 7", 1)
+		d.answers <- listing(8, false, backendIs(2, "draining"))
+		until(t, p, h, "s-3", "s-4")
+	})
+	t.Run("changes are not taken for the whole list that was asked for", func(t *testing.T) {
+		d := discovers(t)
+		for range 5 {
+			d.answers <- "status 500"
+		}
+		d.answers <- listing(9, false, backendIs(7, "up")) // what came before it is not known
+		d.answers <- listing(9, true, backendIs(1, "up"), backendIs(7, "up"))
+		p, h, said := follows(t, d, two)
+		until(t, p, h, "s-1", "s-7")
+		said.waits(t, "changes, where all was asked for", 1)
+	})
+	t.Run("one that ends each watch at once is not asked without a breath", func(t *testing.T) {
+		d, began := discovers(t), time.Now()
+		const calls, breath = 10, 20 * time.Millisecond
+		for range calls {
+			d.answers <- listing(1, false)
+		}
+		serves(t, d.address, two, func(l *limits) { l.watch, l.retryLeast = patience, breath })
+		for range calls {
+			<-d.asked
+		}
+		if spent := time.Since(began); spent < (calls-1)*breath/2 {
+			t.Errorf("%d calls within %v", calls, spent)
+		}
+	})
+}
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -48,6 +48,7 @@
 	dial       time.Duration // for a connection to discovery to come up
 	watch      time.Duration // that discovery may wait for something new
 	watchOver  time.Duration // beyond that before the call has failed
+	patience   time.Duration // from the start on, that a list is waited for before answers leave without
 	retryLeast time.Duration // pause after a failed call, doubling ...
 	retryMost  time.Duration // ... up to this
 	vain       int           // answers of no use, or older than what we know, before we ask for all and take that
@@ -69,6 +70,7 @@
 		linger: 200 * time.Millisecond,
 		write:  10 * time.Second,
 		dial:   500 * time.Millisecond, watch: 2 * time.Second, watchOver: time.Second,
+		patience:   5 * time.Second, // of the ten seconds that the platform waits for a process that restarts
 		retryLeast: 50 * time.Millisecond, retryMost: time.Second, vain: 5,
 		farewell: 400 * time.Millisecond, quiet: 10 * time.Second, sorts: 1024, still: second, proxyRate: 1000, busy: 100, queue: 1e6,
 	}
--- a/controller/list.go
+++ b/controller/list.go
@@ -21,6 +21,7 @@
 	limits  *limits
 	log     *journal
 	take    func(whole bool, version int64, servers []*fastjson.Value)
+	heard   func() // called once discovery itself has given an answer of use
 	version int64
 	some    bool // a version is known
 	older   int  // answers in a row that were older than that
@@ -30,6 +31,7 @@
 	address string   // where it is to be followed
 	next    *move    // to be made before the next call
 	conn    net.Conn // to discovery, for a call to be given up
+	giveUp  func()   // of the last dial
 	ended   bool
 }
 
@@ -39,8 +41,9 @@
 	known   *fastjson.Value
 }
 
-func newList(address string, l *limits, log *journal, take func(bool, int64, []*fastjson.Value)) *list {
-	f := &list{limits: l, log: log, take: take, asked: make(chan struct{}, 1), address: address}
+func newList(address string, l *limits, log *journal, take func(bool, int64, []*fastjson.Value), heard func()) *list {
+	f := &list{limits: l, log: log, take: take, heard: sync.OnceFunc(heard), asked: make(chan struct{}, 1), address: address,
+		giveUp: func() {}}
 	f.client = f.at(address)
 	return f
 }
@@ -70,7 +73,16 @@
 }
 
 func (l *list) dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, l.limits.dial)
+	ctx, cancel := context.WithTimeout(context.Background(), l.limits.dial)
+	defer cancel()
+	l.mutex.Lock()
+	l.giveUp = cancel
+	past := l.ended || address != l.address
+	l.mutex.Unlock()
+	if past {
+		return nil, errMoved
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.conn = conn; err == nil && (l.ended || address != l.address) {
@@ -79,20 +91,32 @@
 	return conn, err
 }
 
-// hangUp gives up the call that is under way.
+// hangUp gives up the call that is under way, at whatever step it is.
 func (l *list) hangUp() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.ended = true; l.conn != nil {
+	l.ended = true
+	l.drop()
+}
+
+func (l *list) drop() {
+	if l.giveUp(); l.conn != nil {
 		l.conn.Close()
 	}
 }
 
+// moved tells whether what was asked of an address is of no interest any more.
+func (l *list) moved(from string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.address != from
+}
+
 // follow has the list go on at an address. A call that is under way elsewhere is given up.
 func (l *list) follow(address string, known *fastjson.Value) {
 	l.mutex.Lock()
-	if l.next = (&move{address, known}); l.conn != nil && address != l.address {
-		l.conn.Close()
+	if l.next = (&move{address, known}); address != l.address {
+		l.drop()
 	}
 	l.address = address
 	l.mutex.Unlock()
@@ -131,38 +155,50 @@
 	pause := l.limits.retryLeast
 	for ctx.Err() == nil {
 		l.moves()
+		version, began := l.version, time.Now()
 		err := l.watch()
-		if err == nil || l.moves() {
+		switch {
+		case err == nil && l.version == version && time.Since(began) < l.limits.watch/2:
+			pause = l.limits.retryLeast // it ends watches at once, and would have us ask without a breath
+		case err == nil || l.moves():
 			pause = l.limits.retryLeast
 			continue
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return
+		default:
+			l.log.seldom("discovery", "discovery_failed", "error", err, "version", l.version)
 		}
-		l.log.seldom("discovery", "discovery_failed", "error", err, "version", l.version)
 		select {
 		case <-ctx.Done():
 		case <-l.asked:
 		case <-time.After(pause/2 + rand.N(pause/2+1)):
 		}
-		pause = min(2*pause, l.limits.retryMost)
+		if err != nil {
+			pause = min(2*pause, l.limits.retryMost)
+		}
 	}
 }
 
-var errBroken = errors.New("not a list")
+var (
+	errBroken = errors.New("not a list")
+	errMoved  = errors.New("it is followed elsewhere by now")
+)
 
 func (l *list) watch() error {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	uri := "http://" + l.client.Addr + "/api/targets"
-	if l.some && l.vain < l.limits.vain {
+	uri, goesOn := "http://"+l.client.Addr+"/api/targets", l.some && l.vain < l.limits.vain
+	if goesOn {
 		uri += fmt.Sprintf("?since=%d&timeout_ms=%d", l.version, l.limits.watch.Milliseconds())
 	}
 	request.SetRequestURI(uri)
 	if err := l.client.DoTimeout(request, response, l.limits.watch+l.limits.watchOver); err != nil {
 		return fmt.Errorf("call: %w", err)
 	}
+	if l.moved(l.client.Addr) {
+		return errMoved
+	}
 	l.vain++ // until it proves to be of use; one that will not go on from our version may still say all it knows
 	if code := response.StatusCode(); code != fasthttp.StatusOK {
 		return fmt.Errorf("status %d", code)
@@ -171,7 +207,14 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errBroken, err)
 	}
-	return l.answer(answer)
+	if !goesOn && !answer.GetBool("full") {
+		return fmt.Errorf("%w: changes, where all was asked for", errBroken)
+	}
+	if err := l.answer(answer); err != nil {
+		return err
+	}
+	l.heard()
+	return nil
 }
 
 // answer takes in an answer unless it is older than what is known: that may come from a copy of discovery that lags.
--- a/controller/module.go
+++ b/controller/module.go
@@ -30,7 +30,7 @@
 
 	mail   chan func()
 	done   chan struct{}
-	ready  chan struct{} // closed once the decisions know a backend
+	ready  chan struct{} // closed once the decisions know a backend, or have waited for one
 	clock  func() int64
 	now    int64 // of this turn
 	stood  int64 // when we last came to ourselves after standing still
@@ -234,12 +234,18 @@
 	m.log.say("list", "version", version, "whole", whole, "entries", len(entries))
 	m.control.Listed(whole, entries)
 	if len(entries) > 0 {
-		select {
-		case <-m.ready:
-		default:
-			close(m.ready)
-			m.log.say("ready", "backends", len(entries))
-		}
+		m.opens("the list is known")
+	}
+}
+
+// opens has answers leave from now on. A controller that knows no backend orders nothing, and proxies go on with what
+// they hold, which is no worse than with none to connect to.
+func (m *module) opens(why string) {
+	select {
+	case <-m.ready:
+	default:
+		close(m.ready)
+		m.log.say("ready", "backends", len(m.backends.index), "why", why)
 	}
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -138,6 +138,9 @@
 	many := float64(c.channel.Proxies) / float64(c.channel.Connections)
 	if whole && !c.listedOnce && many > tooMany && c.channel.Connections > 0 {
 		c.parts = max(1, min(int(math.Ceil(many)), len(entries)/leastPart))
+		for id, p := range c.proxies { // those that came before the list
+			p.part = id % c.parts
+		}
 	}
 	seen := make([]bool, len(c.backends))
 	for _, e := range entries {
@@ -155,7 +158,7 @@
 		}
 		c.warm = c.warm || b.Condition == Ready && !c.cold(b, now)
 	}
-	c.listedOnce = c.listedOnce || whole
+	c.listedOnce = c.listedOnce || whole && len(entries) > 0
 	c.publish(now, false)
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -567,6 +567,26 @@
 			t.Errorf("most of it is back: %d and %d lines", holds(s, 0), holds(s, 1))
 		}
 	})
+	t.Run("proxies that come before the list are spread over its parts all the same", func(t *testing.T) {
+		for what, before := range map[string]func(*stage){"no list": func(*stage) {},
+			"an empty list": func(s *stage) { s.c.Listed(true, nil) }} {
+			s := begin(t, fleet(), 0, 90)
+			before(s)
+			var all []Entry
+			for b := range 60 {
+				all = append(all, Entry{Backend: b, Condition: Ready, Weight: 2, Zone: b % 2})
+			}
+			s.c.Listed(true, all)
+			s.sends(10)
+			of := make([]int, s.c.parts)
+			for _, p := range s.c.proxies {
+				of[p.part] += count(p.bound)
+			}
+			if slices.Min(of) < 90/len(of) || len(of) < 2 {
+				t.Errorf("%s: proxies by part: %v", what, of)
+			}
+		}
+	})
 	t.Run("few proxies, few backends, or connections that nobody tells of leave one table", func(t *testing.T) {
 		for _, y := range [][3]int{{120, 80, 30}, {150, 80, 9}, {150, 0, 30}} {
 			z := x
