Settings that can be misread are refused by key; a key that stands twice spoils a message; clock skew

Customers: of two classes or zones of one name the later took the earlier's place (read, index); lists by class of another length filled up with defaults (Classes); 0 for the channel, the grace, a target or deadline was taken; limits fell back to what is usual where missing or misspelt; an optional key written otherwise, as messages_most, counted as absent, which lifts rule 5's limit of messages; of a key that stands twice the first counted. Each is refused with its key now, at a start and at a reload, which changes nothing. Messages: of a key that stands twice the first counted, so half of a report could be taken in. It is skipped now, and a stranger refused; the same in an answer of discovery. Clocks: a backend whose start lay a moment ahead of our clock counted as warm and had its full line at once (cold, share: rule 4). Now it is cold as long before its start as after it; one further ahead than that is eased in.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -99,6 +99,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
+	if key := twice(root); key != "" {
+		return nil, fmt.Errorf("configuration: %s stands there twice", key)
+	}
 	settings := root.Get("settings")
 	if settings == nil || settings.Type() != fastjson.TypeObject {
 		return nil, errors.New("configuration: settings is missing")
@@ -111,17 +114,23 @@
 			p.lasting[key] = v.String()
 		}
 	}
-	given := root.Get("limits")
-	cores, _ := figureAt(given, "cores")
-	memory, _ := figureAt(given, "memory_mb")
-	sockets, _ := figureAt(given, "sockets")
-	p.limits.give(cores, memory, sockets)
+	var given [3]float64
+	for i, key := range []string{"cores", "memory_mb", "sockets"} {
+		x, ok := figureAt(root.Get("limits"), key)
+		if given[i] = x; !ok || x == 0 {
+			return nil, fmt.Errorf("configuration: limits.%s is missing, or no figure above 0", key)
+		}
+	}
+	p.limits.give(given[0], given[1], given[2])
 	facts := start.Nested(settings, func(format string, args ...any) {
 		p.complain = append(p.complain, fmt.Sprintf(format, args...))
 	})
 	p.channel, p.rules, p.classes = facts.Channel(), facts.Limits(), facts.Classes()
 	p.sight, p.admit, p.zones = facts.Sight(), facts.Admission(), facts.Zones()
 	nodes := facts.Count("familyInfo.proxyCount")
+	if nodes == 0 {
+		facts.Fail("familyInfo.proxyCount", "is 0")
+	}
 	if facts.Maybe("familyInfo.partitionsN", 0) > 0 {
 		facts.Fail("familyInfo.partitionsN", "asks for slices, which no page describes on sockets yet")
 	}
@@ -136,7 +145,11 @@
 			facts.Fail(fmt.Sprintf("profiles.%d.name", i), "is missing")
 			break
 		}
-		p.names, p.index[string(name.GetStringBytes())] = append(p.names, name.MarshalTo(nil)), i
+		text := string(name.GetStringBytes())
+		if _, again := p.index[text]; again || text == "" {
+			facts.Fail(fmt.Sprintf("profiles.%d.name", i), fmt.Sprintf("is %q, which is empty or another's", text))
+		}
+		p.names, p.index[text] = append(p.names, name.MarshalTo(nil)), i
 	}
 	if err := facts.Err(); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"log"
@@ -195,9 +196,9 @@
 	}
 	t.Run("a joining with a spoilt detail is served", func(t *testing.T) {
 		m, _ := begin(t)
-		for _, w := range []string{`"w":-1`, `"w":1e30`, `"w":"x"`, `"w":[],"cold":7`} {
+		for _, w := range []string{`"w":-1,"cold":true`, `"w":1e30,"cold":true`, `"w":"x","cold":true`, `"w":[],"cold":7`} {
 			h := newHearer("read it", "write")
-			p := newPeer(&told{Reader: bytes.NewReader(framed(strings.Replace(hello, `"w":12.5`, w, 1)))}, 1, m,
+			p := newPeer(&told{Reader: bytes.NewReader(framed(strings.Replace(hello, `"w":12.5,"cold":true`, w, 1)))}, 1, m,
 				func(*peer) error { return nil })
 			p.read()
 			if m.turn(func() {}); !m.current(p) {
@@ -338,9 +339,14 @@
 }
 
 func runs(t *testing.T, discovery, known string, change func(*limits)) (c *Controller, address string, said *diary) {
+	t.Helper()
+	return runsWith(t, configuration(discovery, known), change)
+}
+
+func runsWith(t *testing.T, configuration []byte, change func(*limits)) (c *Controller, address string, said *diary) {
 	t.Helper()
 	said = newDiary()
-	c, err := New(Place{}, configuration(discovery, known), Journal(said))
+	c, err := New(Place{}, configuration, Journal(said))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -783,6 +789,15 @@
 	f.Add(slices.Concat(framed(hello), framed(usage), framed(probe), framed(`{"msg":"ack","node":3,"nonce":1}`)))
 	f.Add(slices.Concat(framed(agent), framed(reports), framed(usage), framed("null")))
 	f.Add([]byte("\x00\x10\x00\x00{"))
+	for _, text := range spoilt {
+		f.Add(append(framed(text), framed(probe)...))
+	}
+	for _, size := range []int{0, 16 << 10, 16<<10 + 1, 1 << 20, 1<<20 + 1} {
+		f.Add(append(binary.BigEndian.AppendUint32(nil, uint32(size)), hello...))
+	}
+	for cut := range framed(hello) {
+		f.Add(framed(hello)[:cut])
+	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		m := fuzzed(t)
 		for _, before := range []string{"", hello, agent} {
--- /dev/null
+++ b/controller/customers_test.go
@@ -0,0 +1,404 @@
+package controller
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"wheelrill/decide"
+)
+
+// customer is a deployment as its settings tell of it.
+type customer struct {
+	classes  []profile
+	zones    []string
+	backend  string // what the names of its backends begin with
+	messages int
+}
+
+type profile struct {
+	name             string
+	target, deadline float64
+	worth            float64
+	writes, own      bool
+}
+
+func (c customer) configuration(discovery, known string) []byte {
+	var profiles, writes, own []any
+	for _, p := range c.classes {
+		profiles = append(profiles, map[string]any{"name": p.name, "target": p.target, "deadline": p.deadline, "worth": p.worth})
+		writes, own = append(writes, p.writes), append(own, p.own)
+	}
+	text, err := json.Marshal(map[string]any{"name": "n", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f",
+		"known": json.RawMessage(known), "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 200},
+		"settings": map[string]any{"azs": c.zones, "tick": 1, "weights": "rough", "membershipMode": "automatic",
+			"familyInfo": map[string]any{"admission": "per_second", "backlog": 900, "egressPerS": 900, "overhead": 4,
+				"pushDelayMax": 600, "reportEvery": 1000, "proxyCount": 40, "classWrites": writes, "staysLocal": own,
+				"messagesMost": c.messages, "messagesOver": 10000},
+			"profiles": profiles, "reporting": map[string]any{"how": "silent", "fields": []any{}},
+			"rules": map[string]any{"coldShare": 0.2, "rampTime": 17000, "stopSendingWithin": 3000}}})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+func (c customer) entry(b int, state string, started int64) string {
+	return fmt.Sprintf(`{"id":%q,"zone":%q,"state":%q,"weight":2,"started_ms":%d}`, fmt.Sprint(c.backend, b),
+		c.zones[b%len(c.zones)], state, started)
+}
+
+func (c customer) names() (names []string) {
+	for _, p := range c.classes {
+		names = append(names, p.name)
+	}
+	return names
+}
+
+// begins makes a controller for it that nobody serves, with some backends.
+func (c customer) begins(t *testing.T, backends int) *module {
+	t.Helper()
+	var all []string
+	for b := range backends {
+		all = append(all, c.entry(b, "up", 0))
+	}
+	made, err := New(Place{}, c.configuration("127.0.0.1:9", listing(1, true, all...)), Journal(io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, now := made.module, made.module.now
+	m.clock = func() int64 { return now }
+	m.turn(func() {})
+	return m
+}
+
+// plays has trouble come: demand that outgrows the backends, one that hangs, drains, newcomers, proxies that come and
+// go. What each proxy holds after each second is told, with every name replaced by its place in the settings.
+func (c customer) plays(t *testing.T, order []int) (account []string) {
+	m := c.begins(t, 12)
+	chance := rand.New(rand.NewPCG(1, 2))
+	peers, hearers := map[int]*peer{}, map[int]*hearer{}
+	place := map[string]int{}
+	for b := range 40 {
+		place[fmt.Sprint(c.backend, b)] = b
+	}
+	for turn := range 40 {
+		drawn := []int{chance.IntN(12), chance.IntN(12), chance.IntN(8)}
+		later(m, second, func() {
+			for node := range 8 {
+				if turn == 0 || turn%9 == 0 && node == drawn[2] {
+					hearers[node] = newHearer(c.names()...)
+				}
+			}
+		})
+		for node := range 8 {
+			if turn == 0 || turn%9 == 0 && node == drawn[2] {
+				peers[node] = joins(t, m, turn+1, node, turn > 0)
+				peers[node].zone = node % len(c.zones)
+			}
+		}
+		m.turn(func() {
+			for b := range 12 {
+				mean := int64(200_000 + 60_000*turn)
+				if b == 5 && turn > 4 {
+					m.met(fmt.Sprint(c.backend, b), 9, 9, 0, second, decide.Load{Busy: -1, Waiting: -1, Service: -1})
+				} else {
+					m.met(fmt.Sprint(c.backend, b), 20, 1, mean, second, decide.Load{Busy: -1, Waiting: -1, Service: -1})
+				}
+			}
+			for node := range 8 {
+				for at, class := range order { // the same classes in the same order, wherever they stand in the settings
+					m.came(node, class, 20+10*at, second)
+				}
+			}
+			if turn%5 == 2 {
+				m.listed(false, int64(turn), parsed(t, "["+c.entry(drawn[0], "draining", 0)+","+
+					c.entry(12+turn/5, "up", m.now/1000)+"]").GetArray())
+			}
+			if turn%5 == 4 {
+				m.listed(false, int64(turn), parsed(t, "["+c.entry(drawn[1], "up", 0)+"]").GetArray())
+			}
+		})
+		for _, node := range slices.Sorted(maps.Keys(peers)) {
+			h, p := hearers[node], peers[node]
+			p.heard.Store(m.now)
+			before := len(h.tickets)
+			h.hears(t, p)
+			for _, mark := range h.tickets[before:] {
+				m.turn(func() { m.applied(p, mark) })
+			}
+			line := fmt.Sprint(turn, " ", node)
+			for _, class := range order {
+				held := map[int]float64{}
+				for id, weight := range h.lines[class] {
+					held[place[id]] = weight
+				}
+				line += fmt.Sprint(" ", held)
+				if l := h.levels[class]; l != nil {
+					line += fmt.Sprintf(" %.4g/%g", l[0], l[1])
+				}
+			}
+			shut := []int{}
+			for id := range h.shut {
+				shut = append(shut, place[id])
+			}
+			slices.Sort(shut)
+			account = append(account, line+fmt.Sprint(" ", shut))
+		}
+	}
+	return account
+}
+
+func TestNames(t *testing.T) {
+	t.Run("other names and another order of classes give the same decisions", func(t *testing.T) {
+		classes := []profile{{"fetch", 1500, 4000, 1, false, false}, {"order", 800, 2000, 3, true, false},
+			{"audit", 3000, 9000, 0.5, false, true}}
+		one := customer{classes: classes, zones: []string{"a", "b"}, backend: "s-", messages: 30}
+		want := one.plays(t, []int{0, 1, 2})
+		limited := 0
+		for _, line := range want {
+			limited += strings.Count(line, "/0")
+		}
+		if !strings.Contains(want[len(want)-1], ":") || limited == 0 {
+			t.Fatalf("the story orders no tables, or cuts nothing: %s", want[len(want)-1])
+		}
+		for what, order := range map[string][]int{"turned round": {2, 1, 0}, "rotated": {1, 2, 0}, "as they were": {0, 1, 2}} {
+			other := customer{zones: []string{`north "1"`, "süd"}, backend: "worker/", messages: 30,
+				classes: make([]profile, len(classes))}
+			for i, at := range order {
+				p := classes[i]
+				p.name = []string{"größer", "a b", "x"}[i]
+				other.classes[at] = p
+			}
+			got := other.plays(t, order)
+			for i := range want {
+				if got[i] != want[i] {
+					t.Fatalf("%s: line %d of %d\n got %s\nwant %s", what, i, len(want), got[i], want[i])
+				}
+			}
+		}
+	})
+	t.Run("sixteen classes, each with its own table and level; a seventeenth is refused", func(t *testing.T) {
+		c := customer{zones: []string{"a"}, backend: "s-", messages: 30}
+		for i := range 16 {
+			c.classes = append(c.classes, profile{fmt.Sprint("class ", i), 500 + 100*float64(i), 3000, 1 + float64(i%5), i%3 == 0, i%4 == 1})
+		}
+		m := c.begins(t, 3)
+		p, h := joins(t, m, 1, 0, false), newHearer(c.names()...)
+		for class := range 16 {
+			m.Admit(decide.AllTables, 1<<class, float64(1+class), decide.Tries(class%2))
+		}
+		later(m, 3*second, func() {})
+		h.hears(t, p)
+		for class := range 16 {
+			if len(h.picks(class)) != 3 || h.levels[class] == nil || h.levels[class][0] != float64(1+class) ||
+				h.levels[class][1] != float64(class%2) {
+				t.Errorf("class %d: picks %v, level %v", class, h.picks(class), h.levels[class])
+			}
+		}
+		c.classes = append(c.classes, profile{"one more", 500, 3000, 1, false, false})
+		if _, err := New(Place{}, c.configuration("127.0.0.1:9", two), Journal(io.Discard)); err == nil ||
+			!strings.Contains(err.Error(), "profiles.count") {
+			t.Errorf("error %v", err)
+		}
+	})
+}
+
+func TestCustomers(t *testing.T) {
+	t.Run("two in one process see nothing of each other, before and after a reload of either", func(t *testing.T) {
+		one := customer{zones: []string{"a", "b"}, backend: "s-", messages: 30, classes: []profile{
+			{"read", 1500, 4000, 1, false, false}, {"write", 800, 2000, 3, true, false}}}
+		other := customer{zones: []string{"b", "a"}, backend: "s-", messages: 4, classes: []profile{
+			{"write", 3000, 9000, 1, false, false}, {"other", 100, 500, 9, true, false}, {"read", 800, 2000, 3, true, false}}}
+		serve := func(c customer, known string) (*Controller, *discovery, *caller, *hearer) {
+			d := discovers(t)
+			made, address, _ := runsWith(t, c.configuration(d.address, known), nil)
+			p, h := calls(t, address), newHearer(c.names()...)
+			p.says(`{"msg":"hello","node":0,"locality":"a","w":5,"cold":true}`)
+			if err := h.apply(p.gets()); err != nil {
+				t.Fatal(err)
+			}
+			return made, d, p, h
+		}
+		mine, d, p, h := serve(one, listing(1, true, one.entry(0, "up", 0), one.entry(1, "up", 0)))
+		theirs, e, q, g := serve(other, listing(1, true, other.entry(0, "up", 0), other.entry(2, "up", 0)))
+		for round := range 2 {
+			for class := range one.classes {
+				if want := []string{"s-0", "s-1"}; !slices.Equal(h.picks(class), want) {
+					t.Errorf("round %d: picks %v", round, h.picks(class))
+				}
+			}
+			for class := range other.classes {
+				if want := []string{"s-0", "s-2"}; !slices.Equal(g.picks(class), want) {
+					t.Errorf("round %d: the other picks %v", round, g.picks(class))
+				}
+			}
+			if fmt.Sprint(mine.module.classes, mine.module.zones, theirs.module.classes, theirs.module.zones) !=
+				"map[read:0 write:1] map[a:0 b:1] map[other:1 read:2 write:0] map[a:1 b:0]" {
+				t.Errorf("round %d: %v %v, %v %v", round, mine.module.classes, mine.module.zones, theirs.module.classes,
+					theirs.module.zones)
+			}
+			if err := mine.Reload(other.configuration(d.address, "null")); err != nil { // counts from the next start on
+				t.Fatal(err)
+			}
+			if err := theirs.Reload([]byte("{")); err == nil {
+				t.Error("half a configuration was taken")
+			}
+		}
+		d.answers <- listing(2, false, one.entry(0, "draining", 0))
+		e.answers <- listing(2, false, other.entry(2, "draining", 0))
+		for len(h.picks(1)) > 1 {
+			if err := h.apply(p.gets()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for len(g.picks(2)) > 1 {
+			if err := g.apply(q.gets()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if !slices.Equal(h.picks(0), []string{"s-1"}) || !slices.Equal(g.picks(0), []string{"s-0"}) {
+			t.Errorf("picks %v and %v", h.picks(0), g.picks(0))
+		}
+	})
+	t.Run("what cannot be read one way only is refused by its key, and a reload of it changes nothing", func(t *testing.T) {
+		good := string(configuration("127.0.0.1:9", "null"))
+		made, err := New(Place{}, []byte(good), Journal(io.Discard))
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := fmt.Sprint(made.plan.Place, made.plan.names, made.plan.zones, *made.limits, made.list.address)
+		for key, change := range map[string][2]string{
+			"profiles.1.name":               {`"name":"write"`, `"name":"read it"`},
+			"profiles.0.name":               {`"name":"read it"`, `"name":""`},
+			"azs":                           {`["a","b"]`, `["a","b","a"]`},
+			"limits.cores":                  {`"cores":1`, `"cores":0`},
+			"limits.memory_mb":              {`"memory_mb":192`, `"memory":192`},
+			"limits.sockets":                {`"sockets":200`, `"sockets":-1`},
+			"familyInfo.classWrites":        {`"classWrites":[false,true]`, `"classWrites":[false]`},
+			"familyInfo.staysLocal":         {`"staysLocal":[false,false]`, `"staysLocal":[false,false,true]`},
+			"familyInfo.messages_most":      {`"messagesMost"`, `"messages_most"`},
+			"familyInfo.classwrites":        {`"classWrites"`, `"classwrites"`},
+			"familyInfo.proxyCount":         {`"proxyCount":40`, `"proxyCount":0`},
+			"familyInfo.backlog":            {`"backlog":900`, `"backlog":0`},
+			"familyInfo.egressPerS":         {`"egressPerS":900`, `"egressPerS":0`},
+			"familyInfo.reportEvery":        {`"reportEvery":1000`, `"reportEvery":0`},
+			"profiles.0.deadline":           {`"deadline":4000`, `"deadline":0`},
+			"profiles.1.target":             {`"target":800`, `"target":0`},
+			"rules.stopSendingWithin":       {`"stopSendingWithin":3000`, `"stopSendingWithin":0`},
+			"settings.familyInfo.backlog":   {`"backlog":900`, `"backlog":900,"backlog":9`},
+			"known.servers":                 {`"known":null`, `"known":{"version":1,"servers":[],"full":true,"servers":[]}`},
+			"discovery":                     {`"discovery":"127.0.0.1:9"`, `"discovery":"127.0.0.1:9","discovery":"127.0.0.1:8"`},
+			"configuration: settings is":    {`"settings"`, `"was"`},
+			"setting rules.droppedStayopen": {`"coldShare"`, `"droppedStayopen":true,"coldShare"`},
+		} {
+			spoilt := strings.Replace(good, change[0], change[1], 1)
+			for what, read := range map[string]func([]byte) error{"a reload": made.Reload, "a start": func(text []byte) error {
+				_, err := New(Place{}, text, Journal(io.Discard))
+				return err
+			}} {
+				if err := read([]byte(spoilt)); spoilt == good || err == nil || !strings.Contains(err.Error(), key) {
+					t.Errorf("%s with another %s: error %v", what, key, err)
+				}
+			}
+		}
+		if after := fmt.Sprint(made.plan.Place, made.plan.names, made.plan.zones, *made.limits, made.list.address); after != before {
+			t.Errorf("before %s\nafter %s", before, after)
+		}
+	})
+}
+
+func TestRepeats(t *testing.T) {
+	t.Run("no class is ever permitted more than a try after proof, and one that is cut none", func(t *testing.T) {
+		// Classes that may run twice and such that may not stand side by side, in tables of the fleet and of the zone,
+		// with windows that a request outlasts: nothing here may depend on how long one is.
+		c := customer{zones: []string{"a", "b"}, backend: "s-", messages: 30, classes: []profile{
+			{"safe", 1500, 4000, 1, false, false}, {"once", 800, 2000, 3, true, false}, {"here", 500, 1000, 2, true, true},
+			{"rare", 3000, 9000, 0.1, false, true}}}
+		m := c.begins(t, 8)
+		h, p := newHearer(c.names()...), (*peer)(nil)
+		cut := 0
+		for turn := range 60 {
+			switch turn % 20 {
+			case 0: // restarted stream, or its first
+				p = joins(t, m, turn+1, 0, turn%40 == 20)
+				if turn%40 == 0 {
+					h = newHearer(c.names()...)
+				}
+			case 7:
+				m.turn(func() { m.listed(false, 2, parsed(t, "["+c.entry(1, "draining", 0)+"]").GetArray()) })
+			case 14:
+				m.turn(func() { m.listed(false, 3, parsed(t, "["+c.entry(1, "up", m.now/1000)+"]").GetArray()) })
+			}
+			later(m, second/2, func() {
+				p.heard.Store(m.now)
+				for b := range 8 {
+					mean := int64(math.Abs(float64(turn%20-10))) * 300_000 // hot, calm, and hot again
+					m.met(fmt.Sprint("s-", b), 20, 2, cmp.Or(mean, 100_000), second/2, decide.Load{Busy: -1, Waiting: -1, Service: -1})
+				}
+				for class := range 4 {
+					m.came(0, class, 30, second/2)
+				}
+			})
+			h.hears(t, p)
+			for _, mark := range h.tickets {
+				m.turn(func() { m.applied(p, mark) })
+			}
+			h.tickets = nil
+			for class, l := range h.levels {
+				if l == nil {
+					continue
+				}
+				limited := l[0] < 1_000_000
+				if cut += map[bool]int{true: 1}[limited]; l[1] > 1 || limited && l[1] != 0 {
+					t.Fatalf("turn %d, class %d: level %g with permission %g", turn, class, l[0], l[1])
+				}
+			}
+		}
+		if cut == 0 {
+			t.Error("the story cuts nothing")
+		}
+	})
+	t.Run("a permission is written for just the classes that it is meant for", func(t *testing.T) {
+		names := [][]byte{[]byte(`"safe"`), []byte(`"once"`), []byte(`"zone"`)}
+		to := newTables(names, func(b int) []byte { return []byte(fmt.Sprintf(`"s-%d"`, b)) }, 1<<20, 64)
+		here, p := newHearer("safe", "once", "zone"), &peer{mail: make(chan []byte, 64), ended: make(chan struct{})}
+		to.join(0, p, false)
+		story := rand.New(rand.NewPCG(3, 4))
+		want := make([]float64, 3)
+		to.Bind(0, 0, 0b011)
+		to.Bind(1, 0, 0b100)
+		for turn := range 300 {
+			for class := range 3 {
+				if story.IntN(3) == 0 {
+					want[class] = float64(story.IntN(2))
+					to.Admit(decide.AllTables, 1<<class, float64(5+story.IntN(2)), decide.Tries(want[class]))
+				} else if turn == 0 {
+					to.Admit(decide.AllTables, 1<<class, 5, decide.TryOnce)
+				}
+			}
+			switch story.IntN(4) {
+			case 0:
+				to.Bind(0, 0, 0b011) // a whole table forgets levels
+			case 1:
+				to.Bind(1, 0, 0b100)
+			case 2:
+				to.SetLine(story.IntN(2), story.IntN(9), float64(story.IntN(3)))
+			}
+			to.flush((*peer).send, func(int, error) { t.Fatal("lost") }, func(int, int) {})
+			here.hears(t, p)
+			for class, l := range here.levels {
+				if l == nil || l[1] != want[class] {
+					t.Fatalf("turn %d: class %d has level %v, permission %g was meant", turn, class, l, want[class])
+				}
+			}
+		}
+	})
+}
--- a/controller/list.go
+++ b/controller/list.go
@@ -207,6 +207,9 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errBroken, err)
 	}
+	if key := twice(answer); key != "" {
+		return fmt.Errorf("%w: %s stands there twice", errBroken, key)
+	}
 	if !goesOn && !answer.GetBool("full") {
 		return fmt.Errorf("%w: changes, where all was asked for", errBroken)
 	}
--- a/controller/peer.go
+++ b/controller/peer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -286,6 +287,12 @@
 }
 
 func (p *peer) take(m *fastjson.Value) error {
+	if key := twice(m); key != "" { // which of the two counts is anybody's guess
+		if p.skip("a key stands there twice"); p.kind == stranger {
+			return errRefused
+		}
+		return nil
+	}
 	switch word := string(m.GetStringBytes("msg")); {
 	case word == "probe":
 		if err := p.send(alive); err != nil && p.kind == stranger {
@@ -373,6 +380,33 @@
 	return indexAt(m, key, int(perS*max(seconds, 1))+1)
 }
 
+// twice gives a key that stands in an object twice, or in an object within it.
+func twice(v *fastjson.Value) (path string) {
+	switch v.Type() {
+	case fastjson.TypeArray:
+		for _, item := range v.GetArray() {
+			if path = twice(item); path != "" {
+				return path
+			}
+		}
+	case fastjson.TypeObject:
+		seen := make([][]byte, 0, 16)
+		v.GetObject().Visit(func(key []byte, item *fastjson.Value) {
+			switch inner := ""; {
+			case path != "":
+			case slices.ContainsFunc(seen, func(other []byte) bool { return bytes.Equal(other, key) }):
+				path = string(key)
+			default:
+				if inner = twice(item); inner != "" {
+					path = string(key) + "." + inner
+				}
+			}
+			seen = append(seen, key)
+		})
+	}
+	return path
+}
+
 func (p *peer) zoneAt(m *fastjson.Value) (int, bool) {
 	zone, ok := p.module.zones[string(m.GetStringBytes("locality"))]
 	return zone, ok
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -326,7 +326,7 @@
 // share is the part of its listed weight that a backend may carry now.
 func (c *Controller) share(b *backend, now int64) float64 {
 	part := cmp.Or(b.strained, 1)
-	if b.enteredAt-b.Started >= c.limits.WarmBy && now-b.enteredAt < entryFor { // a cold one is eased in below
+	if !c.cold(b, b.enteredAt) && now-b.enteredAt < entryFor { // a cold one is eased in below
 		part = min(part, entryShare)
 	}
 	// Rule 4: a cold backend is sent what it surely can do. Steps of a quarter keep the orders few.
@@ -337,8 +337,9 @@
 	return part
 }
 
+// cold: one that is to start within as long is so too, as clocks may differ by that.
 func (c *Controller) cold(b *backend, now int64) bool {
-	return b.Started > 0 && b.Started <= now && now-b.Started < c.limits.WarmBy
+	return b.Started > 0 && max(now-b.Started, b.Started-now) < c.limits.WarmBy
 }
 
 func (c *Controller) wanted(b *backend, now int64) float64 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -293,6 +293,18 @@
 			s.weight(7, 2, "when warm")
 		}
 	})
+	t.Run("one that is to start a moment from now, as clocks differ, is cold; a start far ahead is nobody's", func(t *testing.T) {
+		s := begin(t, usual(), 3, 1)
+		s.plays(3, func() { s.fine() })
+		s.lists(3, 4, Ready, s.now+6*second)
+		s.lists(4, 5, Ready, s.now+3600*second)
+		s.plays(2.5, func() { s.fine() })
+		s.weight(3, 2*0.16, "six seconds ahead")
+		s.weight(4, 2*entryShare, "an hour ahead")
+		s.plays(30, func() { s.fine() })
+		s.weight(3, 2, "when it is warm")
+		s.weight(4, 2, "eased in")
+	})
 	t.Run("weights that are listed by load stay at the size", func(t *testing.T) {
 		x := usual()
 		x.sight.LiveWeights = true
--- a/internal/start/facts.go
+++ b/internal/start/facts.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -117,16 +119,44 @@
 
 // Maybe reads a figure whose absence means the given one.
 func (f *Facts) Maybe(key string, absent float64) float64 {
-	if _, ok := f.pairs[key]; !ok {
+	if !f.has(key) {
 		return absent
 	}
 	return f.number(key)
 }
 
+// has tells whether a key is there that may be absent. One that is only written otherwise is refused: its absence would
+// be taken for a wish.
+func (f *Facts) has(key string) bool {
+	if _, ok := f.pairs[key]; ok {
+		return true
+	}
+	for _, other := range slices.Sorted(maps.Keys(f.pairs)) {
+		if folded(other) == folded(key) {
+			f.Fail(other, "is not known; "+key+" is")
+		}
+	}
+	return false
+}
+
+func folded(key string) string {
+	return strings.NewReplacer("_", "", "-", "").Replace(strings.ToLower(key))
+}
+
 func (f *Facts) Span(key string) int64 { return Micros(f.number(key)) }
 
+// some reads a figure that cannot be 0.
+func (f *Facts) some(key string) float64 {
+	x := f.number(key)
+	if x == 0 {
+		f.Fail(key, "is 0")
+	}
+	return x
+}
+
 // truth reads a yes or no; another word, or none, is the careful one.
 func (f *Facts) truth(key string, careful bool) bool {
+	f.has(key)
 	switch text, ok := f.pairs[key]; {
 	case text == "true":
 		return true
@@ -140,6 +170,7 @@
 
 // List reads a list of plain words.
 func (f *Facts) List(key string) []string {
+	f.has(key)
 	if words, ok := f.lists[key]; ok {
 		return words
 	}
@@ -162,7 +193,8 @@
 }
 
 func (f *Facts) Classes() []decide.Class {
-	writes, own := f.List("familyInfo.classWrites"), f.List("familyInfo.staysLocal")
+	const writesKey, ownKey = "familyInfo.classWrites", "familyInfo.staysLocal"
+	writes, own := f.List(writesKey), f.List(ownKey)
 	at := func(list []string, i int, absent bool) bool {
 		if i < len(list) {
 			return list[i] == "true"
@@ -173,12 +205,17 @@
 	if f.err == nil && (count == 0 || count > 16) {
 		f.Fail("profiles.count", "is outside 1 to 16")
 	}
+	for key, list := range map[string][]string{writesKey: writes, ownKey: own} {
+		if len(list) > 0 && len(list) != count {
+			f.Fail(key, fmt.Sprintf("has %d words for %d classes", len(list), count))
+		}
+	}
 	var classes []decide.Class
 	for i := 0; f.err == nil && i < count; i++ {
 		key := fmt.Sprintf("profiles.%d.", i)
 		class := decide.Class{
-			Expected:   f.Span(key + "target"),
-			Outer:      f.Span(key + "deadline"),
+			Expected:   Micros(f.some(key + "target")),
+			Outer:      Micros(f.some(key + "deadline")),
 			Importance: f.Maybe(key+"worth", 1),
 			Writes:     at(writes, i, true),
 			OwnZone:    at(own, i, false),
@@ -190,9 +227,9 @@
 
 func (f *Facts) Channel() decide.Channel {
 	return decide.Channel{
-		LinesPerS:    f.number("familyInfo.egressPerS"),
+		LinesPerS:    f.some("familyInfo.egressPerS"),
 		Head:         f.number("familyInfo.overhead"),
-		Backlog:      f.number("familyInfo.backlog"),
+		Backlog:      f.some("familyInfo.backlog"),
 		LongestWay:   f.Span("familyInfo.pushDelayMax"),
 		MessagesMost: int(min(f.Maybe("familyInfo.messagesMost", 0), math.MaxInt32)),
 		MessagesSpan: Micros(f.Maybe("familyInfo.messagesOver", 0)),
@@ -203,7 +240,7 @@
 
 func (f *Facts) Limits() decide.Limits {
 	return decide.Limits{
-		Grace:             f.Span("rules.stopSendingWithin"),
+		Grace:             Micros(f.some("rules.stopSendingWithin")),
 		ColdShare:         f.number("rules.coldShare"),
 		WarmBy:            f.Span("rules.rampTime"),
 		OnlyDrainingBinds: f.truth("rules.droppedStayOpen", false),
@@ -222,7 +259,7 @@
 
 func (f *Facts) Sight() decide.Sight {
 	s := decide.Sight{
-		ReportEvery: f.Span("familyInfo.reportEvery"),
+		ReportEvery: Micros(f.some("familyInfo.reportEvery")),
 		LinesPerS:   f.Maybe("familyInfo.ingestRate", 0),
 		MayProbe:    f.truth("limits.mayProbe", false),
 		LiveWeights: word(f, "weights", false, map[string]bool{
@@ -252,8 +289,13 @@
 // Zones reads the names of the zones.
 func (f *Facts) Zones() []string {
 	zones := f.List("azs")
-	if f.err == nil && len(zones) == 0 {
+	if len(zones) == 0 {
 		f.Fail("azs", "is missing")
 	}
+	for i, zone := range zones {
+		if slices.Contains(zones[:i], zone) {
+			f.Fail("azs", fmt.Sprintf("names %q twice", zone))
+		}
+	}
 	return zones
 }
