--- a/cmd/wheelrill/rehearse.go
+++ b/cmd/wheelrill/rehearse.go
@@ -94,7 +94,7 @@
 			r.Sharing, r.Relays, r.Seconds, r.Faults)
 		fmt.Fprintf(to, "effects %d, broken rules %v; longest without a line %.2f s, most messages to a relay %d\n", r.Effects,
 			r.Broken, r.BareMost, r.Messages)
-		fmt.Fprintf(to, "importance fulfilled in time %.4f of %d exchanges; lost %d, refused %d\n", r.Fulfilled, r.Came, r.Lost, r.Refused)
+		fmt.Fprintf(to, "value served in time %.4f of %d requests; lost %d, refused %d\n", r.Served, r.Came, r.Lost, r.Refused)
 		fmt.Fprintf(to, "streams begun %d, lines in the first second of each %.1f; all lines %d in %d orders; refused as stale %d\n",
 			r.Takeovers, r.JoinLines, r.Lines, r.Orders, r.Stale)
 		fmt.Fprintf(to, "hangs %d, left after %.2f s in the mean, %.2f s at most; tries into them %d; workers replaced %d\n", r.Hangs,
--- a/cmd/wheelrill/rehearse_test.go
+++ b/cmd/wheelrill/rehearse_test.go
@@ -52,7 +52,7 @@
 			if report.Verdict == rehearse.Unjudged {
 				t.Skip(report.Why)
 			}
-			if report.Verdict != rehearse.Kept || (len(report.Faults) == 0) != p.Calm || report.Fulfilled == 0 {
+			if report.Verdict != rehearse.Kept || (len(report.Faults) == 0) != p.Calm || report.Served == 0 {
 				t.Errorf("got %+v", report)
 			}
 		})
--- a/cmd/wheelrill/serve.go
+++ b/cmd/wheelrill/serve.go
@@ -24,9 +24,9 @@
 	start := func(*cobra.Command, []string) error {
 		return logged(run(ctx, again, path, controller.Journal(os.Stderr)))
 	}
-	top := &cobra.Command{Use: "wheelrill", Short: "Assigns exchanges to backends; without a command it serves",
+	top := &cobra.Command{Use: "wheelrill", Short: "Assigns requests to backends; without a command it serves",
 		Long: "wheelrill is one controller: proxies and collectors connect to it, it follows discovery, and tells proxies where\n" +
-			"exchanges go. Without a command it serves as LB_CONFIG says.",
+			"requests go. Without a command it serves as LB_CONFIG says.",
 		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true, RunE: start}
 	serve := &cobra.Command{Use: "serve", Short: "Serve until SIGTERM",
 		Example: "  LB_CONFIG=deploy/sample.json wheelrill serve --options deploy/wheelrill.yaml", Args: cobra.NoArgs, RunE: start}
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -32,12 +32,12 @@
 	body       int // bytes of an answer of discovery
 
 	// What reports can say. Beyond it they are spoilt.
-	proxyRate float64 // exchanges a second that can come to a proxy, by far
+	proxyRate float64 // requests a second that can come to a proxy, by far
 	fleetRate float64 // and to all of them
 	answer    int64   // µs that an answer can take
 	span      int64   // µs that one report can cover
 	busy      float64 // share of its cores that a backend can have at work; it may count them in percent
-	queue     float64 // exchanges that can wait at it
+	queue     float64 // requests that can wait at it
 
 	tick       time.Duration // between two clock times of the module
 	first      time.Duration // from accept on, for a connection to say who it is
@@ -100,10 +100,10 @@
 	const stall = 2 * second
 	l.silence = 2*channel.LongestWay + 3*sight.ReportEvery + stall
 	l.lag = channel.LongestWay + stall
-	// A proxy gives an exchange up at its outer limit. Where lines wait for their turn one counts many periods.
+	// A proxy gives a request up at its deadline. Where lines wait for their turn one counts many periods.
 	l.fleetRate = l.proxyRate * float64(max(nodes, 1))
 	for _, class := range classes {
-		l.answer = max(l.answer, 2*class.Outer)
+		l.answer = max(l.answer, 2*class.Deadline)
 	}
 	l.span = max(60*second, 30*sight.ReportEvery)
 	if channel.LinesPerS > 0 {
--- a/controller/peer.go
+++ b/controller/peer.go
@@ -375,7 +375,7 @@
 	return span, float64(span) / second, ok && span > 0 && span <= p.limits.span
 }
 
-// countAt reads a count of exchanges, of which so many can come in a second; parts of one do not exist.
+// countAt reads a count of requests, of which so many can come in a second; parts of one do not exist.
 func countAt(m *fastjson.Value, key string, perS, seconds float64) (int, bool) {
 	return indexAt(m, key, int(perS*max(seconds, 1))+1)
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,10 +32,10 @@
 	strainAt     = 2.0        // a score (times the median) that is no chance where a queue stands as well
 	strainStep   = 0.75       // weight goes down in steps of this: twice is about the spread of rough weights
 
-	// Levels. Heat is the mean answer time over the expected time.
-	hotAt      = 0.4       // from here a queue stands nearly everywhere: its tail misses the expected time
+	// Levels. Heat is the mean answer time over the target latency.
+	hotAt      = 0.4       // from here a queue stands nearly everywhere: its tail misses the target latency
 	calmAt     = 0.3       // below this hardly anything waits
-	restAt     = 0.2       // heat without any queue, about: expected times leave room
+	restAt     = 0.2       // heat without any queue, about: target latencies leave room
 	jammed     = 1.5       // times what a jammed fleet answers at a look is the most that it can do
 	leastCut   = 0.85      // part of the proven throughput that fixed weights can spread without queues
 	deepestCut = 0.3       // a cut leaves this much: the queue is a guess, and what waits too long is dropped
@@ -226,7 +226,7 @@
 	now, b := c.host.Now(), c.backends[id]
 	c.tries += tries
 	from := now
-	if c.every > c.levels.outer { // lines wait for their turn: they tell of exchanges that are all over
+	if c.every > c.levels.deadline { // lines wait for their turn: they tell of requests that are all over
 		if from -= max(0, span-c.sight.ReportEvery); from < max(b.Started, b.enteredAt) {
 			return // of another process, or of when it was away
 		}
@@ -257,7 +257,7 @@
 	}
 }
 
-// Came is what came to a proxy, refused exchanges and repeats by clients among it.
+// Came is what came to a proxy, refused requests and repeats by clients among it.
 func (c *Controller) Came(id, class, count int, span int64) {
 	if c.proxies[id].joined && span > 0 {
 		c.smooth(&c.proxies[id].rates[class], count, span)
@@ -344,7 +344,7 @@
 
 func (c *Controller) wanted(b *backend, now int64) float64 {
 	// Where proxies heed no levels, or we may have started in a jam, only absence keeps it from a cold one.
-	blind := c.levels.how == AdmitNone && c.levels.heat > hotAt || c.levels.expected == 0 && c.warm
+	blind := c.levels.how == AdmitNone && c.levels.heat > hotAt || c.levels.target == 0 && c.warm
 	out := blind && c.cold(b, now)
 	if !c.usable(b, now) || b.away && !c.fallback || out {
 		return 0
@@ -579,7 +579,7 @@
 		if b.score = 1; b.mean > 0 && median > 0 {
 			b.score = b.mean / median
 		}
-		lags := b.mean >= hotAt*c.levels.expected && b.score >= strainAt && b.tries >= triesToJudge/2 &&
+		lags := b.mean >= hotAt*c.levels.target && b.score >= strainAt && b.tries >= triesToJudge/2 &&
 			!b.load.idle(b.mean) && !b.elsewhere
 		switch {
 		// Silence counts only with tries, and where most answer: what is shared condemns nobody.
@@ -657,13 +657,13 @@
 	}
 }
 
-// admission is what we let in, in units: an exchange counts its expected time, as nothing gives its work.
+// admission is what we let in, in units: a request counts its target latency, as nothing gives its work.
 type admission struct {
 	how        Admission
-	order      []int // classes by importance per unit, the first to be let in
+	order      []int // classes by value per unit, the first to be let in
 	units      []float64
-	outer      float64 // longest outer limit, microseconds
-	expected   float64 // expected time of the mean exchange let in, microseconds
+	deadline   float64 // longest deadline, microseconds
+	target     float64 // target latency of the mean request let in, microseconds
 	able       float64 // units a second answered while a queue stood, over heard, see look
 	proven     float64 // the same let in while none stood, the most of it
 	part       float64 // of what is able to be answered; 0 until a queue was seen
@@ -673,7 +673,7 @@
 	told       bool    // a level ever was
 	heat       float64 // at the last look
 	laid, want []float64
-	came       []float64 // exchanges counted since the last look
+	came       []float64 // requests counted since the last look
 	trim       []float64 // what was counted in all, over the sum of the proxies' rates
 
 	drainedAt, holdUntil int64 // when the queue must be gone, and when reports show it
@@ -686,11 +686,11 @@
 	for i, class := range classes {
 		a.came, a.trim = append(a.came, 0), append(a.trim, 1)
 		a.order = append(a.order, i)
-		a.outer = max(a.outer, float64(class.Outer))
-		a.units = append(a.units, max(float64(class.Expected)/float64(second), 1e-3))
+		a.deadline = max(a.deadline, float64(class.Deadline))
+		a.units = append(a.units, max(float64(class.Target)/float64(second), 1e-3))
 	}
 	slices.SortStableFunc(a.order, func(x, y int) int {
-		vx, vy := classes[x].Importance/a.units[x], classes[y].Importance/a.units[y]
+		vx, vy := classes[x].Value/a.units[x], classes[y].Value/a.units[y]
 		return count(vx < vy) - count(vx > vy)
 	})
 	return a
@@ -699,7 +699,7 @@
 func (c *Controller) look(now int64) (r reading) {
 	a := &c.levels
 	var means []float64
-	tries, answers, took, ours, told, exchanges := 0, 0, 0., 0., 0., 0.
+	tries, answers, took, ours, told, requests := 0, 0, 0., 0., 0., 0.
 	for _, p := range c.proxies { // of those that just joined the reports are still to come
 		ours += p.usual
 		told += p.usual * max(0, min(1, float64(now-p.joinedAt-c.sight.ReportEvery)/float64(now-c.lookedAt)))
@@ -725,8 +725,8 @@
 		}
 		// Failures of one that answers late are time-outs in its queue; others, like lost answers or connections
 		// that it does not take, are none.
-		if mean > hotAt*a.expected {
-			tries, took = tries+failed, took+float64(failed)*a.outer/2
+		if mean > hotAt*a.target {
+			tries, took = tries+failed, took+float64(failed)*a.deadline/2
 		} else {
 			answers += failed
 		}
@@ -741,15 +741,15 @@
 			} else if a.laid[class] > 0 {
 				rate *= a.laid[class]
 			}
-			exchanges += rate
+			requests += rate
 			r.let += rate * a.units[class]
 		}
 	}
-	if tries > 0 && exchanges > 0 {
-		a.expected = r.let / exchanges * float64(second)
-		r.heat, r.median = took/float64(tries)/a.expected, middle(means, 0)/a.expected
+	if tries > 0 && requests > 0 {
+		a.target = r.let / requests * float64(second)
+		r.heat, r.median = took/float64(tries)/a.target, middle(means, 0)/a.target
 		// Reports that a stall of ours held back come together, and are counted over the whole time.
-		r.answered = float64(answers) / float64(now-c.lookedAt) * a.expected
+		r.answered = float64(answers) / float64(now-c.lookedAt) * a.target
 	}
 	return r
 }
@@ -773,14 +773,14 @@
 	if r.heat == 0 || r.heard == 0 || a.how == AdmitNone {
 		return
 	}
-	was, idle := a.bound, r.heat < incredible && c.idle(r.heat*a.expected)
+	was, idle := a.bound, r.heat < incredible && c.idle(r.heat*a.target)
 	rests := r.median < calmAt && r.heat < hotAt // most have no queue, whatever a few have
 	lag := c.sight.ReportEvery + c.channel.LongestWay + second
-	queue := max(0, r.heat-restAt) * a.expected // before a new exchange, as time
+	queue := max(0, r.heat-restAt) * a.target // before a new request, as time
 	hot := r.heat > hotAt && r.median > calmAt && !idle
 	a.hotSince = cmp.Or(a.hotSince, now) * int64(count(hot))
 	// What stood in queues then may be answered or given up: only heat that outlasts old news is an overload.
-	hot = hot && (c.every <= a.outer || float64(now-a.hotSince) >= c.every)
+	hot = hot && (c.every <= a.deadline || float64(now-a.hotSince) >= c.every)
 	switch {
 	case now < a.holdUntil:
 		// What is heard now is late: half of the queue that it shows may be gone.
@@ -858,7 +858,7 @@
 	return l != (Load{}) && (light || l.Busy >= 0 && l.Busy < idleAt)
 }
 
-// setLevels shares the limit out, importance first; capping the busiest proxies, repeats count for nothing.
+// setLevels shares the limit out, value first; capping the busiest proxies, repeats count for nothing.
 func (c *Controller) setLevels() {
 	a := &c.levels
 	left := a.limit
@@ -956,8 +956,8 @@
 	return l.lines == 0 || l.lines+cost <= l.room()/2 || must && l.lines+cost <= l.room()
 }
 
-// delays tells whether, with so many lines before them, tables would come too late to those who wait: rule 3 binds
-// whatever they brought, and that may name what had gone before we began, which no message takes out.
+// delays tells whether, with so many lines before them, tables would come too late to those who wait: rule 3
+// binds whatever they brought, and that may name what had gone before we began, which no message takes out.
 func (l *ledger) delays(cost float64) bool { return l.owed > 0 && l.lines+cost+l.owed > l.due }
 
 // may tells whether a proxy may be sent one more message. Half of those allowed are kept for what is urgent.
@@ -990,7 +990,7 @@
 type slice struct {
 	mine   bool
 	owner  int       // -1 for none
-	rates  []float64 // exchanges a second, by class
+	rates  []float64 // requests a second, by class
 	held   int64     // the orders that stopped writes; 0 if they go on, -1 if they must stop
 	freeAt int64     // when the former owner has none in hand; 0 while some proxy may still send it one
 }
@@ -1009,7 +1009,7 @@
 
 func (c *Controller) SliceGiven(id int) {
 	// Unless we just started: whoever had it may have been moving it, and a former owner have writes in hand.
-	unsure := int64(count(c.owners.SingleOwner && c.levels.expected > 0))
+	unsure := int64(count(c.owners.SingleOwner && c.levels.target > 0))
 	c.owners.all[id] = slice{mine: true, owner: -1, rates: make([]float64, len(c.classes)), held: -unsure}
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -772,7 +772,7 @@
 }
 
 func TestLevels(t *testing.T) {
-	t.Run("news older than any exchange cuts nothing unless the heat outlasts it", func(t *testing.T) {
+	t.Run("news older than any request cuts nothing unless the heat outlasts it", func(t *testing.T) {
 		// Found on the days of the whole fleet: a jam of six seconds was answered when it was over, for twenty.
 		for lasts, cut := range map[int]bool{6: false, 40: true} {
 			s := begin(t, usual(), 8, 3)
@@ -795,7 +795,7 @@
 		}
 	})
 
-	t.Run("importance goes first, nothing is tried again, and all comes back", func(t *testing.T) {
+	t.Run("value goes first, nothing is tried again, and all comes back", func(t *testing.T) {
 		s := begin(t, usual(), 8, 3)
 		s.plays(5, func() { s.fine() })
 		if len(s.levels) > 0 {
@@ -824,7 +824,7 @@
 		}
 	})
 	t.Run("a few that grow slower and slower lose their weight, then their place, and make no overload", func(t *testing.T) {
-		// Found at size: a third of the fleet aged and kept a quarter each, and half of the exchanges were refused.
+		// Found at size: a third of the fleet aged and kept a quarter each, and half of the requests were refused.
 		s := begin(t, usual(), 12, 3)
 		age := func() {
 			s.fine(0, 1, 2, 3)
@@ -915,7 +915,7 @@
 				s.hears(b, 10, 0, 600_000)
 			}
 		})
-		if able := s.c.levels.able * 8 * 2 * 30; able < 80 { // what three got was 80 exchanges a second
+		if able := s.c.levels.able * 8 * 2 * 30; able < 80 { // what three got was 80 requests a second
 			t.Errorf("%.1f units thought able to be answered for three", able)
 		}
 	})
@@ -1036,7 +1036,7 @@
 			}
 			s.comes(2, 2)
 		})
-		if able := s.c.levels.able * 8 * 2 * 30; able < 240 { // 240 exchanges a second, over a unit each
+		if able := s.c.levels.able * 8 * 2 * 30; able < 240 { // 240 requests a second, over a unit each
 			t.Errorf("%.1f units thought able to be answered", able)
 		}
 	})
@@ -1168,7 +1168,7 @@
 		}
 	})
 	t.Run("a proxy with no line in most periods counts for what comes to it", func(t *testing.T) {
-		// Found at size: 300 proxies with one exchange a second each seemed to get a third more.
+		// Found at size: 300 proxies with one request a second each seemed to get a third more.
 		s := begin(t, usual(), 4, 1)
 		for range 30 {
 			s.c.Came(0, 0, 1, second)
--- a/decide/fake_test.go
+++ b/decide/fake_test.go
@@ -76,8 +76,8 @@
 
 func twoClasses() []Class {
 	return []Class{
-		{Expected: 1500_000, Outer: 4 * second, Importance: 1},
-		{Expected: 800_000, Outer: 2 * second, Importance: 3, Writes: true},
+		{Target: 1500_000, Deadline: 4 * second, Value: 1},
+		{Target: 800_000, Deadline: 2 * second, Value: 3, Writes: true},
 	}
 }
 
--- a/decide/host.go
+++ b/decide/host.go
@@ -50,13 +50,13 @@
 	Zone      int
 }
 
-// Class is one class of exchanges.
+// Class is one class of requests.
 type Class struct {
-	Expected   int64
-	Outer      int64
-	Importance float64
-	Writes     bool
-	OwnZone    bool
+	Target   int64
+	Deadline int64
+	Value    float64
+	Writes   bool
+	OwnZone  bool
 }
 
 // Tries is the manner in which proxies try again.
@@ -94,7 +94,7 @@
 // Load is what a backend said of itself; a figure it did not give is negative.
 type Load struct {
 	Busy    float64 // share of its cores at work
-	Waiting float64 // exchanges not yet begun
+	Waiting float64 // requests not yet begun
 	Service float64 // recent service time without waiting, microseconds
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -47,10 +47,10 @@
 	cleared          bool    // a backend's first line lets it back from then on, and costs two
 	told             float64 // withdrawals that it heard of before it was bound: the same
 	zone, part       int
-	usual            float64 // exchanges a second that come to it on ordinary days
+	usual            float64 // requests a second that come to it on ordinary days
 	joinedAt, leftAt int64
 	applied          int64     // orders up to this one have come through
-	rates            []float64 // exchanges a second that come to it, by class
+	rates            []float64 // requests a second that come to it, by class
 	sent             []int64   // when messages went to it, within the span that is counted
 	owed             []int64   // the same by others, for when it joins
 	cramped          bool      // others had sent some: its table may take what is kept for what is urgent
@@ -99,7 +99,7 @@
 // one; 0 if that is not known.
 func (c *Controller) Ability() (proven, able float64) { return c.levels.proven, c.levels.able }
 
-// Demands takes what another controller counted at a proxy that joined us, exchanges a second by class.
+// Demands takes what another controller counted at a proxy that joined us, requests a second by class.
 func (c *Controller) Demands(id int, rates []float64) { copy(c.proxies[id].rates, rates) }
 
 // Fits takes what another controller saw of that, in place of what we have not seen ourselves.
--- a/internal/start/facts.go
+++ b/internal/start/facts.go
@@ -214,11 +214,11 @@
 	for i := 0; f.err == nil && i < count; i++ {
 		key := fmt.Sprintf("profiles.%d.", i)
 		class := decide.Class{
-			Expected:   Micros(f.some(key + "target")),
-			Outer:      Micros(f.some(key + "deadline")),
-			Importance: f.Maybe(key+"worth", 1),
-			Writes:     at(writes, i, true),
-			OwnZone:    at(own, i, false),
+			Target:   Micros(f.some(key + "target")),
+			Deadline: Micros(f.some(key + "deadline")),
+			Value:    f.Maybe(key+"worth", 1),
+			Writes:   at(writes, i, true),
+			OwnZone:  at(own, i, false),
 		}
 		classes = append(classes, class)
 	}
--- a/rehearse/takeover.go
+++ b/rehearse/takeover.go
@@ -53,7 +53,7 @@
 	Effects    int            `json:"effects"`
 	BareMost   float64        `json:"longest_without_a_line_s"`
 	Messages   int            `json:"most_messages_to_a_relay"`
-	Fulfilled  float64        `json:"importance_fulfilled"` // share of what was asked for, in time
+	Served     float64        `json:"value_served"` // share of what was asked for, in time
 	Lost       int            `json:"lost"`
 	Refused    int            `json:"refused"`
 	Came       int            `json:"came"`
@@ -112,8 +112,8 @@
 	var profiles []map[string]any
 	var writes, stays []bool
 	for _, c := range classes {
-		profiles = append(profiles, map[string]any{"name": c.Name, "target": c.Expected.Milliseconds(),
-			"deadline": c.Outer.Milliseconds(), "worth": c.Importance})
+		profiles = append(profiles, map[string]any{"name": c.Name, "target": c.Target.Milliseconds(),
+			"deadline": c.Deadline.Milliseconds(), "worth": c.Value})
 		writes, stays = append(writes, c.Writes), append(stays, false)
 	}
 	lines, backlog := t.channel()
@@ -141,8 +141,8 @@
 		return nil, err
 	}
 	classes := []standin.Class{
-		{Name: "lookup", Expected: 400 * time.Millisecond, Outer: 1500 * time.Millisecond, Importance: 1, Rate: 3},
-		{Name: "order", Expected: 300 * time.Millisecond, Outer: 1200 * time.Millisecond, Importance: 3, Writes: true, Rate: 1}}
+		{Name: "lookup", Target: 400 * time.Millisecond, Deadline: 1500 * time.Millisecond, Value: 1, Rate: 3},
+		{Name: "order", Target: 300 * time.Millisecond, Deadline: 1200 * time.Millisecond, Value: 3, Writes: true, Rate: 1}}
 	addresses, err := free(2 * t.Instances)
 	if err != nil {
 		return nil, err
@@ -512,7 +512,7 @@
 	r := p.report
 	r.Faults, r.Effects, r.Messages = p.faults, v.Effects, v.Most
 	r.Breaches, r.Broken, r.BareMost = v.Breaches, v.Counts, v.Longest.Seconds()
-	r.Fulfilled = (after.Served - before.Served) / max(after.Asked-before.Asked, 1)
+	r.Served = (after.ServedValue - before.ServedValue) / max(after.AskedValue-before.AskedValue, 1)
 	r.Came, r.Lost, r.Refused = after.Came-before.Came, after.Lost-before.Lost, after.Refused-before.Refused
 	r.Takeovers, r.Stale = after.Streams-before.Streams, after.Refusals-before.Refusals
 	r.Lines, r.Orders = after.Lines-before.Lines, after.Orders-before.Orders
--- a/replica/node.go
+++ b/replica/node.go
@@ -366,10 +366,10 @@
 		return a, err
 	}
 	defer conn.Close()
-	return a, exchange(conn, c, &a)
+	return a, request(conn, c, &a)
 }
 
-func exchange(conn net.Conn, c call, a *answer) error {
+func request(conn net.Conn, c call, a *answer) error {
 	conn.SetDeadline(time.Now().Add(callPatience))
 	if err := send(conn, c); err != nil {
 		return err
@@ -531,7 +531,7 @@
 				conn, err = n.link.dial(ctx, leader, forCalls)
 			}
 			if err == nil {
-				err = exchange(conn, call{Entry: &e}, &a)
+				err = request(conn, call{Entry: &e}, &a)
 			}
 			if err != nil {
 				hangUp()
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -322,7 +322,7 @@
 		}
 		defer conn.Close()
 		var got answer
-		return got, exchange(conn, c, &got)
+		return got, request(conn, c, &got)
 	}
 	for name, given := range map[string]Credentials{"a foreign authority": foreign.gives("b"),
 		"a name that is no member's": ours.gives("z"), "plain text": {}} {
--- a/share/book.go
+++ b/share/book.go
@@ -83,7 +83,7 @@
 	Lives   map[uint64]*Life           `cbor:"3,keyasint"`
 	Proxies map[int]Holding            `cbor:"4,keyasint"`
 	Away    map[string]map[string]Seen `cbor:"5,keyasint"` // by backend and member
-	Came    map[int][]float64          `cbor:"6,keyasint"` // exchanges a second by proxy and class
+	Came    map[int][]float64          `cbor:"6,keyasint"` // requests a second by proxy and class
 	Fits    map[string]Fit             `cbor:"7,keyasint"` // by member
 	Past    map[string][]uint64        `cbor:"8,keyasint"` // lives of each member that are over, the last ones
 }
@@ -133,7 +133,7 @@
 	Known    bool
 	Base     []Base    // by class, if it is known
 	Clean    bool      // it is known besides that it shuts nothing out
-	Came     []float64 // exchanges a second that came to it, by class, as last told
+	Came     []float64 // requests a second that came to it, by class, as last told
 }
 
 const (
--- a/share/evidence.go
+++ b/share/evidence.go
@@ -21,7 +21,7 @@
 	fitted Fit // as last told
 }
 
-// rate follows exchanges a second.
+// rate follows requests a second.
 type rate struct {
 	perS float64
 	span int64
@@ -34,7 +34,7 @@
 	Able   float64 `cbor:"2,keyasint"`
 }
 
-// Came is what comes to a proxy, exchanges a second by class.
+// Came is what comes to a proxy, requests a second by class.
 type Came struct {
 	Proxy int       `cbor:"1,keyasint"`
 	Rates []float64 `cbor:"2,keyasint"`
--- a/standin/installation.go
+++ b/standin/installation.go
@@ -108,7 +108,7 @@
 // Wire is the way to a controller.
 func (in *Installation) Wire(controller int) *Wire { return in.controllers[controller] }
 
-// Play has streams, reports and exchanges go on until the installation is closed.
+// Play has streams, reports and requests go on until the installation is closed.
 func (in *Installation) Play() {
 	ctx, stop := context.WithCancel(context.Background())
 	in.stop = stop
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -15,13 +15,13 @@
 	"time"
 )
 
-// Class is one class of exchanges.
+// Class is one class of requests.
 type Class struct {
-	Name            string
-	Expected, Outer time.Duration
-	Importance      float64
-	Writes          bool    // a second run of the same would be a second effect
-	Rate            float64 // exchanges a second that come to each relay
+	Name             string
+	Target, Deadline time.Duration
+	Value            float64
+	Writes           bool    // a second run of the same would be a second effect
+	Rate             float64 // requests a second that come to each relay
 }
 
 // push is one part of an order.
@@ -39,7 +39,7 @@
 	More    bool
 }
 
-// Relay is a proxy as the protocol has it: one stream to some controller, tables that it follows exactly, exchanges
+// Relay is a proxy as the protocol has it: one stream to some controller, tables that it follows exactly, requests
 // that it sends where they say.
 type Relay struct {
 	in     *Installation
@@ -65,25 +65,25 @@
 	set   bool
 	rate  float64
 	retry int
-	room  float64 // exchanges that may be let in now
+	room  float64 // requests that may be let in now
 	at    time.Time
 }
 
 // Counts sums what relays met.
 type Counts struct {
-	Came, Fulfilled, Late, Lost, Refused int
-	Asked, Served                        float64 // importance that came, and that was fulfilled in time
-	Tries                                int
-	IntoHang                             int // tries sent to a worker that hung
-	Streams                              int // that were begun
-	Orders, Lines                        int
-	JoinLines                            int // of them within a second of a stream's beginning
-	Refusals                             int // orders that were refused as of an older owner
+	Came, Served, Late, Lost, Refused int
+	AskedValue, ServedValue           float64 // value that came, and that was served in time
+	Tries                             int
+	IntoHang                          int // tries sent to a worker that hung
+	Streams                           int // that were begun
+	Orders, Lines                     int
+	JoinLines                         int // of them within a second of a stream's beginning
+	Refusals                          int // orders that were refused as of an older owner
 }
 
 func (c *Counts) add(o Counts) {
-	c.Came, c.Fulfilled, c.Late, c.Lost, c.Refused = c.Came+o.Came, c.Fulfilled+o.Fulfilled, c.Late+o.Late, c.Lost+o.Lost, c.Refused+o.Refused
-	c.Asked, c.Served, c.Tries, c.IntoHang = c.Asked+o.Asked, c.Served+o.Served, c.Tries+o.Tries, c.IntoHang+o.IntoHang
+	c.Came, c.Served, c.Late, c.Lost, c.Refused = c.Came+o.Came, c.Served+o.Served, c.Late+o.Late, c.Lost+o.Lost, c.Refused+o.Refused
+	c.AskedValue, c.ServedValue, c.Tries, c.IntoHang = c.AskedValue+o.AskedValue, c.ServedValue+o.ServedValue, c.Tries+o.Tries, c.IntoHang+o.IntoHang
 	c.Streams, c.Orders, c.Lines = c.Streams+o.Streams, c.Orders+o.Orders, c.Lines+o.Lines
 	c.JoinLines, c.Refusals = c.JoinLines+o.JoinLines, c.Refusals+o.Refusals
 }
@@ -365,7 +365,7 @@
 	}
 }
 
-// arrivals has exchanges of a class come to the relay until the context ends.
+// arrivals has requests of a class come to the relay until the context ends.
 func (r *Relay) arrivals(ctx context.Context, class int, random *rand.Rand) {
 	for n := 0; ; n++ {
 		gap := time.Duration(random.ExpFloat64() / r.in.classes[class].Rate * float64(time.Second))
@@ -374,18 +374,18 @@
 			return
 		case <-time.After(gap):
 		}
-		r.exchange(class, fmt.Sprintf("%d/%d/%d", r.node, class, n), random)
+		r.request(class, fmt.Sprintf("%d/%d/%d", r.node, class, n), random)
 	}
 }
 
-// exchange plays one from its coming to its end.
-func (r *Relay) exchange(class int, key string, random *rand.Rand) {
+// request plays one from its coming to its end.
+func (r *Relay) request(class int, key string, random *rand.Rand) {
 	c := r.in.classes[class]
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.came[class]++
 	r.counts.Came++
-	r.counts.Asked += c.Importance
+	r.counts.AskedValue += c.Value
 	if !r.levels[class].lets() {
 		r.counts.Refused++
 		return
@@ -407,7 +407,7 @@
 	return true
 }
 
-// try sends an exchange to a worker by weight, not to one that it was sent to before. The relay is locked.
+// try sends a request to a worker by weight, not to one that it was sent to before. The relay is locked.
 func (r *Relay) try(class int, key string, began time.Time, tried int, before string, drawn uint64) {
 	c := r.in.classes[class]
 	var ids []string
@@ -429,7 +429,7 @@
 			break
 		}
 	}
-	w, patience := r.in.worker(chosen), time.Until(began.Add(c.Outer))
+	w, patience := r.in.worker(chosen), time.Until(began.Add(c.Deadline))
 	if w == nil || patience <= 0 {
 		r.counts.Lost++
 		return
@@ -451,9 +451,9 @@
 				again = r.levels[class].retry
 			}
 			switch {
-			case result == Answered && time.Since(began) <= c.Expected:
-				r.counts.Fulfilled++
-				r.counts.Served += c.Importance
+			case result == Answered && time.Since(began) <= c.Target:
+				r.counts.Served++
+				r.counts.ServedValue += c.Value
 			case result == Answered:
 				r.counts.Late++
 			case tried == 0 && (result == Refused && again >= 1 || again >= 2 && !c.Writes):
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -126,8 +126,8 @@
 		t.Fatal(err)
 	}
 	in, err := NewInstallation(Plan{Zones: []string{"a"}, Workers: 3, Cores: 1, Service: 2 * time.Millisecond, Relays: 1, Fenced: true,
-		Classes: []Class{{Name: "read", Expected: time.Second, Outer: 2 * time.Second, Importance: 1, Rate: 200},
-			{Name: "write", Expected: time.Second, Outer: 2 * time.Second, Importance: 2, Writes: true, Rate: 200}},
+		Classes: []Class{{Name: "read", Target: time.Second, Deadline: 2 * time.Second, Value: 1, Rate: 200},
+			{Name: "write", Target: time.Second, Deadline: 2 * time.Second, Value: 2, Writes: true, Rate: 200}},
 		Reports: 50 * time.Millisecond, Seed: 1},
 		rules.Limits{Bare: time.Minute, Grace: time.Minute}, []string{l.Addr().String()})
 	if err != nil {
@@ -217,8 +217,8 @@
 		holds("w-01", 0)
 		eventually(t, "counted", func() bool { return in.Counts().Refusals == 1 })
 	})
-	t.Run("exchanges are sent where the tables say, reports and demand are told", func(t *testing.T) {
-		eventually(t, "fulfilled", func() bool { return in.Counts().Fulfilled > 20 })
+	t.Run("requests are sent where the tables say, reports and demand are told", func(t *testing.T) {
+		eventually(t, "served", func() bool { return in.Counts().Served > 20 })
 		if got := c.hearsOf("demand"); !strings.Contains(got, `"route":`) {
 			t.Errorf("told %s", got)
 		}
@@ -233,8 +233,8 @@
 		}
 		in.Workers[0].Set(Refuses)
 		in.Workers[2].Set(Serves)
-		served := in.Counts().Fulfilled
-		eventually(t, "fulfilled by the other", func() bool { return in.Counts().Fulfilled > served+20 })
+		served := in.Counts().Served
+		eventually(t, "served by the other", func() bool { return in.Counts().Served > served+20 })
 	})
 	t.Run("a level lets in no more a second", func(t *testing.T) {
 		c.says(`{"msg":"push","token":5,"level":1,"retry":0,"ticket":10}`)
