--- a/cmd/wheelrill/ending_test.go
+++ b/cmd/wheelrill/ending_test.go
@@ -26,7 +26,8 @@
 		t.Fatal(err)
 	}
 	p := &process{exec.Command(program), make(chan string, 1024)}
-	p.Env = append(os.Environ(), asProgram+"=yes", "LB_CONFIG="+configuration, "LB_DISCOVERY=127.0.0.1:7", "LB_LISTEN=127.0.0.1:0")
+	// The race detector would have the process sleep for a second at its end.
+	p.Env = append(os.Environ(), asProgram+"=yes", "GORACE=atexit_sleep_ms=0", "LB_CONFIG="+configuration, "LB_DISCOVERY=127.0.0.1:7", "LB_LISTEN=127.0.0.1:0")
 	log, err := p.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
