--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -50,6 +50,15 @@
 			t.Errorf("asked %d times", s.watches)
 		}
 	})
+	t.Run("a timer of an earlier life does nothing", func(t *testing.T) {
+		s := begin(t, usual(), 3, 1)
+		s.hears(2, 9, 9, 0)
+		timers, script := len(s.timers), len(s.script)
+		s.now += 3 * second
+		if s.c.Elapsed(s.tag + 1); len(s.timers) != timers || len(s.script) != script {
+			t.Errorf("%d timers, ordered %v", len(s.timers)-timers, s.script[script:])
+		}
+	})
 	t.Run("absent and foreign figures harm nothing", func(t *testing.T) {
 		s := begin(t, usual(), 3, 1)
 		s.c.Heard(99, 5, 5, 0, second, Load{})
@@ -388,6 +397,21 @@
 			t.Errorf("%d bound in the end", len(s.bound))
 		}
 	})
+	t.Run("what went to a proxy that was lost stays counted until it can have left the channel", func(t *testing.T) {
+		s := begin(t, usual(), 30, 2)
+		s.plays(3, nil)
+		s.lists(0, 9, Draining, 0)
+		s.c.Left(0)
+		s.c.Left(1)
+		billed := s.c.channel.lines
+		if s.c.Elapsed(s.tag); billed < 2*9 || s.c.channel.lines < billed {
+			t.Errorf("%.0f lines were billed, %.0f are counted", billed, s.c.channel.lines)
+		}
+		s.plays(4, nil)
+		if s.c.channel.lines != 0 || len(s.c.channel.waiting) > 0 {
+			t.Errorf("%.0f lines stay counted for good", s.c.channel.lines)
+		}
+	})
 	t.Run("a fleet that grows at once does not fill the channel, and the widest changes go first", func(t *testing.T) {
 		// Found in two incidents: 17 new ones went to 39 proxies at once; and small steps went before new ones.
 		s := begin(t, usual(), 20, 20)
