--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -764,6 +764,33 @@
 			t.Errorf("%d of 200 backends have a line in the end", n)
 		}
 	})
+	t.Run("a whole small fleet that comes to one in a release has its tables within the grace", func(t *testing.T) {
+		// Found on days on which four of five controllers are killed in a release (santiago-enlace, herd+mass, --nodes 30, seed
+		// 11): three parts of 67 backends are 17,000 lines for 240 proxies, 21 s of the channel with 8.3 s of grace.
+		x := fleet()
+		x.channel.LinesPerS, x.channel.Backlog, x.channel.LongestWay = 800, 5300, 890_000
+		x.channel.Proxies, x.channel.Connections, x.limits.Grace = 240, 85, 8300_000
+		s := begin(t, x, 200, 0)
+		for p := range 48 {
+			s.c.Joined(p, p%2, busy(p), false)
+		}
+		s.sends(13)
+		s.lists(0, 60, Draining, 0)
+		s.sends(1)
+		for p := 48; p < 240; p++ {
+			s.c.Joined(p, p%2, busy(p), true)
+		}
+		late := 0
+		for range 4 * 30 {
+			s.sends(0.25)
+			for _, q := range s.c.proxies {
+				late += count(!q.bound && s.now+s.c.Delay()+x.channel.LongestWay-q.joinedAt > x.limits.Grace)
+			}
+		}
+		if late > 0 {
+			t.Errorf("%d looks at proxies that were late", late)
+		}
+	})
 	t.Run("those who wait for a table are not told of a hundred backends one by one instead", func(t *testing.T) {
 		// Found on the same day: messages of a hundred lines, for tables of ten, took all of the channel for good.
 		s := begin(t, fleet(), 200, 0)
