Keys that stand twice are looked for by a map, not one by one

Found on reading the whole diff: twice compared each key with all before it, so a message of the longest length, with a hundred thousand keys, took a core for seconds.

--- a/controller/endings_test.go
+++ b/controller/endings_test.go
@@ -655,6 +655,20 @@
 			}
 		}
 	})
+	t.Run("a message of a hundred thousand keys costs no more than its length", func(t *testing.T) {
+		text, began := []byte(`{"msg":"probe"`), time.Now()
+		for i := range 100_000 {
+			text = fmt.Appendf(text, `,"%x":0`, i)
+		}
+		address, _ := serves(t, discovers(t).address, two, nil)
+		p := calls(t, address)
+		p.says(hello)
+		p.gets()
+		p.says(string(append(text, '}')))
+		if got := string(p.gets()[headSize:]); got != isAlive || time.Since(began) > patience/4 {
+			t.Errorf("got %q after %v", got, time.Since(began))
+		}
+	})
 	t.Run("nobody joins by a hello that names two", func(t *testing.T) {
 		address, said := serves(t, discovers(t).address, two, nil)
 		c := calls(t, address)
--- a/controller/peer.go
+++ b/controller/peer.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -390,18 +389,17 @@
 			}
 		}
 	case fastjson.TypeObject:
-		seen := make([][]byte, 0, 16)
+		seen := make(map[string]bool, v.GetObject().Len()) // a message may hold a hundred thousand keys
 		v.GetObject().Visit(func(key []byte, item *fastjson.Value) {
-			switch inner := ""; {
-			case path != "":
-			case slices.ContainsFunc(seen, func(other []byte) bool { return bytes.Equal(other, key) }):
-				path = string(key)
-			default:
-				if inner = twice(item); inner != "" {
-					path = string(key) + "." + inner
-				}
+			if path != "" {
+				return
 			}
-			seen = append(seen, key)
+			if name := string(key); seen[name] {
+				path = name
+			} else if inner := twice(item); inner != "" {
+				path = name + "." + inner
+			}
+			seen[string(key)] = true
 		})
 	}
 	return path
