What waits in the backlog at the end is closed, not left open

Seen: -count=50 under -race on a saturated machine, 'connections in the instant of the end' failed once; eight processes with that story alone all failed within seconds. A dump at the deadline: event=stopped written, no goroutine of a controller, 13 callers reading. So these stood in the listener's backlog, and closing the listener does not end them here. At fault: server.run closed the listener at once.

--- a/controller/server.go
+++ b/controller/server.go
@@ -31,9 +31,10 @@
 
 // run accepts until the context ends, then ends every connection.
 func (s *server) run(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	stop := context.AfterFunc(ctx, func() { wakes(listener) })
 	defer stop()
 	defer s.endAll()
+	defer s.turnAway(listener)
 	for s.room(ctx) {
 		conn, err := listener.Accept()
 		switch {
@@ -65,6 +66,33 @@
 	return nil
 }
 
+// wakes ends a wait for a connection, and leaves the listener open where it can.
+func wakes(listener net.Listener) {
+	if tcp, ok := listener.(*net.TCPListener); ok {
+		tcp.SetDeadline(time.Now())
+		return
+	}
+	listener.Close()
+}
+
+// turnAway closes the listener and, for a moment before, what has come and was not taken in: not every kernel ends that
+// with the listener, and whoever waits on it would wait for good.
+func (s *server) turnAway(listener net.Listener) {
+	defer listener.Close()
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	tcp.SetDeadline(time.Now().Add(s.limits.lastLook))
+	for {
+		conn, err := tcp.Accept()
+		if err != nil {
+			return
+		}
+		conn.Close()
+	}
+}
+
 func (s *server) pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
