decide: a late drain has what is left of its grace; lists and beats cost their length

Cause: a drain that arrives by distribution counts from its acceptance at the voter, and decide.Entry had no time, so ledger.open let it wait for others as long as a whole grace bears (open, binds, owing: c.limits.Grace). Change: Entry.Since, and grace() is what is left for the drain heard of last after its order; overrides gives the first acceptance of the entries that drain. partWeights is summed up once for a list and kept up with each entry; publish sorts only lines that change, in the same order as before. Measured: tests fail without each (late drain waits 1 s more; parts differ from entries one by one).

--- a/controller/overrides.go
+++ b/controller/overrides.go
@@ -22,7 +22,7 @@
 
 // overrides are what distributed entries say of backends, over discovery's word. They belong to the module.
 type overrides struct {
-	drains  map[string]map[distribution.Key]bool    // by backend, the entries that drain it
+	drains  map[string]map[distribution.Key]int64   // by backend, when the entries that drain it were accepted, Unix µs
 	weights map[string]map[distribution.Key]written // by backend
 	listed  []decide.Entry                          // by index, as discovery has it; an index that is given anew is listed anew
 }
@@ -34,7 +34,7 @@
 }
 
 func newOverrides() *overrides {
-	return &overrides{drains: map[string]map[distribution.Key]bool{}, weights: map[string]map[distribution.Key]written{}}
+	return &overrides{drains: map[string]map[distribution.Key]int64{}, weights: map[string]map[distribution.Key]written{}}
 }
 
 // put takes an entry in; it gives the backend whose entry in the list it may change, if there is one. False: the entry makes
@@ -44,7 +44,7 @@
 	switch kind {
 	case kindDrain:
 		ok = e.Deleted || string(e.Value) == drained
-		set(o.drains, about, e.Key(), true, ok && !e.Deleted)
+		set(o.drains, about, e.Key(), e.AcceptedAt, ok && !e.Deleted)
 		return about, ok
 	case kindWeight:
 		weight, usable := usableWeight(string(e.Value))
@@ -87,7 +87,7 @@
 	for backend := range o.weights {
 		backends = append(backends, backend)
 	}
-	o.drains, o.weights = map[string]map[distribution.Key]bool{}, map[string]map[distribution.Key]written{}
+	o.drains, o.weights = map[string]map[distribution.Key]int64{}, map[string]map[distribution.Key]written{}
 	return backends
 }
 
@@ -102,6 +102,16 @@
 	return last.weight, ok
 }
 
+// drainedSince is when the first of the entries that drain a backend was accepted, Unix µs; 0 where none says.
+func (o *overrides) drainedSince(backend string) (since int64) {
+	for _, at := range o.drains[backend] {
+		if at > 0 && (since == 0 || at < since) {
+			since = at
+		}
+	}
+	return since
+}
+
 // note keeps what discovery says of a backend.
 func (o *overrides) note(e decide.Entry) {
 	for len(o.listed) <= e.Backend {
@@ -129,7 +139,7 @@
 		return append(to, e)
 	}
 	gone := e
-	e.Condition = decide.Draining
+	e.Condition, e.Since = decide.Draining, o.drainedSince(id)
 	if to = append(to, e); gone.Condition == decide.Gone {
 		to = append(to, gone)
 	}
--- a/controller/overrides_test.go
+++ b/controller/overrides_test.go
@@ -45,6 +45,27 @@
 	wants(ready, fmt.Sprint(decide.Ready, 1.5)) // set last
 	puts(said("drain/s-3", "true", 3), true)
 	wants(ready, fmt.Sprint(decide.Draining, 1.5))
+	first := said("drain/s-3", "true", 2)
+	first.Scope, first.AcceptedAt = "orders", 5
+	second := said("drain/s-3", "true", 4)
+	second.AcceptedAt = 9
+	unknown := said("drain/s-3", "true", 5)
+	unknown.Scope, unknown.AcceptedAt = "billing", 0
+	for _, step := range []struct {
+		drain distribution.Entry
+		since int64
+	}{{second, 9}, {first, 5}, {unknown, 5}} {
+		puts(step.drain, true)
+		if got := o.merged(nil, "s-3", ready)[0].Since; got != step.since {
+			t.Errorf("drained since %d, not %d", got, step.since)
+		}
+	}
+	first.Deleted, unknown.Deleted = true, true
+	puts(first, true)
+	puts(unknown, true)
+	if got := o.merged(nil, "s-3", ready)[0].Since; got != 9 {
+		t.Errorf("drained since %d once the first is over", got)
+	}
 	gone := ready
 	gone.Condition = decide.Gone
 	wants(gone, fmt.Sprintf("%v 1.5, %v 1.5", decide.Draining, decide.Gone))
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -141,14 +141,21 @@
 		c.divide(len(entries))
 	}
 	seen := make([]bool, len(c.backends))
+	var carried *partWeights // by part; summed up once, as a list of many backends would cost their square
 	for _, e := range entries {
 		for len(c.backends) <= e.Backend {
 			c.backends, seen = append(c.backends, &backend{}), append(seen, false)
 		}
-		if seen[e.Backend] = true; !c.backends[e.Backend].listed {
-			c.backends[e.Backend].part = c.lightest(e.Zone)
+		b := c.backends[e.Backend]
+		if seen[e.Backend] = true; !b.listed && c.parts > 1 {
+			if carried == nil {
+				carried = c.partWeights()
+			}
+			b.part = carried.lightest(e.Zone)
 		}
-		c.backends[e.Backend].relist(e, now, c.listedOnce, c.sight.LiveWeights)
+		carried.add(b, -1)
+		b.relist(e, now, c.listedOnce, c.sight.LiveWeights)
+		carried.add(b, 1)
 	}
 	for i, b := range c.backends {
 		if whole && !seen[i] {
@@ -180,17 +187,14 @@
 }
 
 // lightest is the part with the least listed weight, the zone's twice: a lost one takes as much of each.
-func (c *Controller) lightest(zone int) int {
-	if c.parts == 1 {
-		return 0 // a list of many backends would cost their square
-	}
-	weights := make([]float64, c.parts)
-	for _, b := range c.backends {
-		if b.listed && b.Condition == Ready {
-			weights[b.part] += b.Weight * float64(1+count(b.Zone == zone))
+func (w *partWeights) lightest(zone int) int {
+	least := 0
+	for part := range w.all {
+		if w.counted(part, zone) < w.counted(least, zone) {
+			least = part
 		}
 	}
-	return slices.Index(weights, slices.Min(weights))
+	return least
 }
 
 func (b *backend) relist(e Entry, now int64, entering, live bool) {
@@ -204,10 +208,13 @@
 		b.Weight = 1
 	}
 	if e.Condition != Ready {
+		if e.Condition == Draining && e.Since > 0 {
+			b.late = max(b.late, now-e.Since)
+		}
 		b.drained = b.drained || e.Condition == Draining
 		return
 	}
-	if b.drained = false; restarted { // another process: what was heard of the old one says nothing
+	if b.drained, b.late = false, 0; restarted { // another process: what was heard of the old one says nothing
 		b.away, b.backoff, b.strained = false, 0, 0
 	}
 	if fresh {
@@ -233,6 +240,17 @@
 	return b.listed && b.Condition == Ready
 }
 
+// grace is what is left of it for the drain that was heard of last after its order, until it is told.
+func (c *Controller) grace() int64 {
+	late := int64(0)
+	for _, b := range c.backends {
+		if b.late > late && c.mustLeave(b) && (b.line > 0 || !b.out) {
+			late = b.late
+		}
+	}
+	return max(0, c.limits.Grace-late)
+}
+
 // mustLeave tells whether rule 3 binds for a backend.
 func (c *Controller) mustLeave(b *backend) bool {
 	return b.listed && b.Condition != Ready && (b.drained || !c.limits.OnlyDrainingBinds)
@@ -414,11 +432,11 @@
 	if c.levels.urgent { // all let in meanwhile adds to a queue
 		need += (header + 1) * joined
 	}
-	goes := (ordinary || need > 0) && c.channel.open(c.proxies, now, c.laidAt, c.limits.Grace, need)
+	goes := (ordinary || need > 0) && c.channel.open(c.proxies, now, c.laidAt, c.grace(), need)
 	c.pressed = !goes && (ordinary && due && c.channel.lines > c.channel.room()/8 || // binds wait
 		need > 0 && c.channel.lines+need > c.channel.room())
 	if goes {
-		laid, left, order := false, false, slices.Clone(c.backends)
+		laid, left, order := false, false, []*backend(nil)
 		stood, lost := 0., 0.
 		for _, b := range c.backends {
 			stood += b.carried()
@@ -427,7 +445,9 @@
 		gap := func(b *backend) float64 { return math.Abs(c.wanted(b, now) - b.line) }
 		gaps := make([]float64, c.parts)
 		for _, b := range c.backends {
-			gaps[b.part] += gap(b)
+			if c.wanted(b, now) != b.line {
+				order, gaps[b.part] = append(order, b), gaps[b.part]+gap(b)
+			}
 		}
 		slices.SortStableFunc(order, func(x, y *backend) int {
 			return cmp.Or(cmp.Compare(gaps[y.part], gaps[x.part]), x.part-y.part, cmp.Compare(gap(y), gap(x)))
@@ -567,7 +587,7 @@
 
 // binds tells whether those who wait are as well bound as told by messages of their own.
 func (c *Controller) binds(table, message float64, waiting int) bool {
-	return table <= 3*message && table*float64(waiting) <= inTime*c.channel.takes(c.limits.Grace)
+	return table <= 3*message && table*float64(waiting) <= inTime*c.channel.takes(c.grace())
 }
 
 // relevels is how many lines of levels a whole table takes along, as it makes a proxy forget them.
@@ -1022,7 +1042,7 @@
 		if to < 0 && s.held < 0 {
 			to = from
 		}
-		if s.held > 0 || to < 0 || !c.channel.open(c.proxies, now, c.laidAt, c.limits.Grace, c.channel.Backlog/4) {
+		if s.held > 0 || to < 0 || !c.channel.open(c.proxies, now, c.laidAt, c.grace(), c.channel.Backlog/4) {
 			continue
 		}
 		if s.owner = to; o.SingleOwner && (from >= 0 || s.held < 0) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -254,6 +255,31 @@
 		}
 		s.weight(1, 0, "while proxies join")
 	})
+	t.Run("a drain that is heard of late has what is left of its grace, and does not wait for others", func(t *testing.T) {
+		x := usual()
+		x.channel.MessagesMost = 4
+		for late, waits := range map[int64]bool{0: true, second: true, 5 * second / 2: false, 100 * second: false, -second: true} {
+			s := begin(t, x, 6, 3)
+			s.plays(12, func() { s.fine() })
+			s.c.Listed(false, []Entry{{Backend: 1, Condition: Draining, Weight: 2, Zone: 1}})
+			s.plays(0.1, nil)
+			s.c.Listed(false, []Entry{{Backend: 2, Condition: Draining, Weight: 2, Since: s.now - late}})
+			if waiting := s.tables[0][2] > 0; waiting != waits {
+				t.Errorf("ordered %d us ago: waits %v", late, waiting)
+			}
+			s.plays(3, nil)
+			if s.c.grace() != x.limits.Grace {
+				t.Errorf("%d us are left of the grace once all is told", s.c.grace())
+			}
+			s.c.Listed(false, []Entry{{Backend: 2, Condition: Ready, Weight: 2}})
+			s.plays(12, func() { s.fine() })
+			s.c.Listed(false, []Entry{{Backend: 3, Condition: Draining, Weight: 2, Zone: 1}})
+			s.plays(0.1, nil)
+			if s.c.Listed(false, []Entry{{Backend: 2, Condition: Draining, Weight: 2}}); s.tables[0][2] == 0 {
+				t.Error("what was late of a drain that is over counts for the next")
+			}
+		}
+	})
 	t.Run("drains that do not fit as one piece wait for an emptier channel, few do not", func(t *testing.T) {
 		// Found in an incident: two waves in six small pieces, a third of them headers, and the last came late.
 		s := begin(t, usual(), 50, 20)
@@ -630,6 +656,38 @@
 			t.Errorf("most of it is back: %d and %d lines", holds(s, 0), holds(s, 1))
 		}
 	})
+	t.Run("a list at once settles the same parts as its entries one by one", func(t *testing.T) {
+		y := x
+		y.limits.WarmBy = 1 << 50 // cold ones stay in the part that the list has put them in
+		whole, single := begin(t, y, 0, 10), begin(t, y, 0, 10)
+		for _, s := range []*stage{whole, single} {
+			s.c.Listed(true, []Entry{{Backend: 59, Condition: Ready, Weight: 1, Started: 1}})
+			if s.c.divide(30); s.c.parts < 2 {
+				t.Fatalf("%d parts", s.c.parts)
+			}
+		}
+		random := rand.New(rand.NewPCG(1, 2))
+		for range 200 {
+			var entries []Entry
+			for range 1 + random.IntN(20) {
+				condition := []Condition{Ready, Ready, Draining, Gone}[random.IntN(4)]
+				entries = append(entries, Entry{Backend: random.IntN(60), Condition: condition,
+					Weight: float64(1 + random.IntN(4)), Zone: random.IntN(3), Started: 1})
+			}
+			whole.c.Listed(false, entries)
+			for _, e := range entries {
+				single.c.Listed(false, []Entry{e})
+			}
+			for b := range whole.c.backends {
+				if got, want := whole.c.backends[b].part, single.c.backends[b].part; got != want {
+					t.Fatalf("backend %d: part %d, one by one %d", b, got, want)
+				}
+				if random.IntN(10) == 0 && whole.c.Forget(b) != single.c.Forget(b) {
+					t.Fatalf("backend %d is forgotten by one alone", b)
+				}
+			}
+		}
+	})
 	t.Run("proxies that come before the list are spread over its parts all the same", func(t *testing.T) {
 		for what, before := range map[string]func(*stage){"no list": func(*stage) {},
 			"an empty list": func(s *stage) { s.c.Listed(true, nil) }} {
--- a/decide/host.go
+++ b/decide/host.go
@@ -41,13 +41,14 @@
 	Draining
 )
 
-// Entry is one line of the list. Started is 0 for a distant past.
+// Entry is one line of the list.
 type Entry struct {
 	Backend   int
 	Condition Condition
-	Started   int64
+	Started   int64 // 0 for a distant past
 	Weight    float64
 	Zone      int
+	Since     int64 // when a drain was ordered, as its grace runs from then on; 0 if that is now
 }
 
 // Class is one class of requests.
--- a/decide/state.go
+++ b/decide/state.go
@@ -15,6 +15,7 @@
 	listed, drained bool    // drained: was seen draining since it was last ready
 	line            float64 // its weight in our tables
 	out             bool    // withdrawn from whatever tables proxies hold
+	late            int64   // how long its drain had been ordered when we heard of it
 	enteredAt       int64   // when it entered or returned; 0 if it was here from the start
 
 	samples         []sample // what was heard within the reply timeout, and its sums
@@ -215,6 +216,7 @@
 func (c *Controller) owing(now int64, sizes map[int]float64) {
 	l := &c.channel
 	l.owed, l.due = 0, math.Inf(1)
+	grace := c.grace()
 	for _, i := range c.waiting {
 		p := c.proxies[i]
 		if !p.joined || p.bound {
@@ -222,7 +224,7 @@
 		}
 		if _, cost, bare := c.whole(p, sizes); !bare {
 			l.owed += cost
-			l.due = min(l.due, inTime*l.takes(c.limits.Grace)-l.takes(l.LongestWay+now-p.joinedAt))
+			l.due = min(l.due, inTime*l.takes(grace)-l.takes(l.LongestWay+now-p.joinedAt))
 		}
 	}
 }
@@ -243,6 +245,40 @@
 	return lines
 }
 
+// partWeights is the listed weight of the ready backends by part, in all and by zone. Nil counts nothing.
+type partWeights struct {
+	all   []float64
+	zones map[int][]float64
+}
+
+func (c *Controller) partWeights() *partWeights {
+	w := &partWeights{all: make([]float64, c.parts), zones: map[int][]float64{}}
+	for _, b := range c.backends {
+		w.add(b, 1)
+	}
+	return w
+}
+
+// add counts a backend, or with a sign of -1 takes it out.
+func (w *partWeights) add(b *backend, sign float64) {
+	if w == nil || !b.listed || b.Condition != Ready {
+		return
+	}
+	if w.zones[b.Zone] == nil {
+		w.zones[b.Zone] = make([]float64, len(w.all))
+	}
+	w.all[b.part] += sign * b.Weight
+	w.zones[b.Zone][b.part] += sign * b.Weight
+}
+
+// counted is the weight of a part with that of a zone counted twice.
+func (w *partWeights) counted(part, zone int) float64 {
+	if ofZone := w.zones[zone]; ofZone != nil {
+		return w.all[part] + ofZone[part]
+	}
+	return w.all[part]
+}
+
 // weights is what each part may carry now, and a fair share of it.
 func (c *Controller) weights(now int64) (parts []float64, fair float64) {
 	parts = make([]float64, c.parts)
