replica: the pace of raft follows from the lease, so voters without proxies fit the budget

Change: paceFor gives heartbeat, leader's lease and commit in proportion to the lease, no quicker than before; at the usual 1.5 s all stays. scale run record-lease measures it; the rig's voters, which own no proxies, have a lease of 7.5 s.

--- a/replica/changes.go
+++ b/replica/changes.go
@@ -283,7 +283,7 @@
 	_, m := n.current()
 	empty := true
 	m.changes.view(func(voter *distribution.VoterState) { empty = voter.Empty() })
-	seen := progress{leads: r.State() == raft.Leader, sinceContact: time.Since(r.LastContact()),
+	seen := progress{leads: r.State() == raft.Leader, inContact: time.Since(r.LastContact()) < n.pace.heartbeat,
 		applied: r.AppliedIndex(), committed: r.CommitIndex(), last: r.LastIndex()}
 	if n.currency.observe(seen) && !empty {
 		n.config.Distribution.Current()
@@ -293,8 +293,8 @@
 // progress is how far a member's part in raft is.
 type progress struct {
 	leads                    bool
-	sinceContact             time.Duration // with a leader, where we do not lead
-	applied, committed, last uint64        // indices
+	inContact                bool   // with a leader, where we do not lead: within a heartbeat timeout
+	applied, committed, last uint64 // indices
 }
 
 // currency tells whether a member has all that was accepted anywhere for longer than a heartbeat takes.
@@ -309,7 +309,7 @@
 	}
 	if !p.leads {
 		c.ledFrom = 0
-		return p.sinceContact < heartbeat
+		return p.inContact
 	}
 	if c.ledFrom == 0 {
 		c.ledFrom = max(p.last, 1) // what stands up to there may have been accepted by the leader before us
--- a/replica/node.go
+++ b/replica/node.go
@@ -46,13 +46,12 @@
 	Distribution Distribution
 }
 
-// Paces of raft on a local network. A member that dies is replaced as leader within two of them, about.
+// Times and sizes of a member's part in raft, beside its pace.
 const (
-	heartbeat     = 400 * time.Millisecond
-	leaderLease   = 300 * time.Millisecond
 	applyWithin   = 500 * time.Millisecond
 	pollInterval  = 200 * time.Millisecond
 	snapshotAt    = 4096               // entries
+	entriesAtOnce = 32                 // in one message of raft's: all may be changes of the greatest size, and time is short
 	trailing      = 1024               // entries that are kept beyond a snapshot, for who lags a little
 	statsInterval = 10 * time.Second   // between two lines that tell the record's cost
 	folderMode    = os.FileMode(0o700) // others could vote in our name
@@ -65,6 +64,7 @@
 	log       *slog.Logger
 	transport *transport
 	clock     func() int64 // µs
+	pace      pace
 
 	proposals chan share.Entry // one entry is under way at a time
 
@@ -113,8 +113,8 @@
 	}
 	began := time.Now()
 	n := &Node{config: config, events: events, log: log, wrapStore: wrapStore, proposals: make(chan share.Entry, 1), stamp: randomID(),
-		leases: share.NewLeaseTracker(config.Terms),
-		clock:  func() int64 { return time.Since(began).Microseconds() }}
+		leases: share.NewLeaseTracker(config.Terms), pace: paceFor(time.Duration(config.Terms.Lease) * time.Microsecond),
+		clock: func() int64 { return time.Since(began).Microseconds() }}
 	n.transport = &transport{name: config.Name, members: config.Members, secure: secure, listener: listener, id: n.ID, serve: n.serve,
 		forRaft: make(chan net.Conn), ended: make(chan struct{}), conns: map[net.Conn]bool{}, foreign: config.Distribution != nil,
 		refused: func(from net.Addr, why error) {
@@ -208,8 +208,8 @@
 		Timeout: callPatience, Logger: n.raftLog()})
 	c := raft.DefaultConfig()
 	c.LocalID, c.Logger = raft.ServerID(id), n.raftLog()
-	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout = heartbeat, heartbeat, leaderLease
-	c.CommitTimeout, c.MaxAppendEntries = heartbeat/8, 256
+	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout = n.pace.heartbeat, n.pace.heartbeat, n.pace.leaderLease
+	c.CommitTimeout, c.MaxAppendEntries = n.pace.commit, entriesAtOnce
 	c.SnapshotThreshold, c.TrailingLogs, c.SnapshotInterval = snapshotAt, trailing, 5*time.Second
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- /dev/null
+++ b/replica/pace_test.go
@@ -0,0 +1,35 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+)
+
+// A longer lease slows the pace in proportion, and raft takes each.
+func TestPace(t *testing.T) {
+	const usualLease = 1500 * time.Millisecond
+	usual := pace{400 * time.Millisecond, 300 * time.Millisecond, 50 * time.Millisecond}
+	for lease, want := range map[time.Duration]pace{
+		0:                      usual,
+		500 * time.Millisecond: usual,
+		usualLease:             usual,
+		time.Hour:              {16 * time.Minute, 12 * time.Minute, 2 * time.Minute},
+		6 * time.Second:        {1600 * time.Millisecond, 1200 * time.Millisecond, 200 * time.Millisecond},
+	} {
+		got := paceFor(lease)
+		if got != want {
+			t.Errorf("lease of %s: %+v, not %+v", lease, got, want)
+		}
+		if lease >= usualLease && 2*got.heartbeat > lease {
+			t.Errorf("lease of %s: no room for two elections of %s", lease, got.heartbeat)
+		}
+		c := raft.DefaultConfig()
+		c.LocalID = "n0"
+		c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = got.heartbeat, got.heartbeat, got.leaderLease, got.commit
+		if err := raft.ValidateConfig(c); err != nil {
+			t.Errorf("lease of %s: %v", lease, err)
+		}
+	}
+}
--- a/scale/hollow.go
+++ b/scale/hollow.go
@@ -15,9 +15,10 @@
 	"wheelrill/share"
 )
 
-// Terms of hollow members, as real ones have them by the usual lease.
+// Terms of hollow members, as real ones have them.
 const (
-	hollowLease    = 1500 * time.Millisecond
+	usualLease     = 1500 * time.Millisecond // of members that share a fleet
+	voterLease     = 7500 * time.Millisecond // of members that own no proxies: docs/distributing.md
 	renewsPerLease = 8
 	messagesSpan   = 10 * time.Second
 	messagesMost   = 30
@@ -37,17 +38,17 @@
 	entered atomic.Bool // on the record
 }
 
-// startHollow gives a member that takes part until the context ends. The terms are set here.
-func startHollow(ctx context.Context, running *sync.WaitGroup, config replica.Config) (*hollowMember, error) {
+// startHollow gives a member that takes part until the context ends. The terms follow from the lease.
+func startHollow(ctx context.Context, running *sync.WaitGroup, config replica.Config, lease time.Duration) (*hollowMember, error) {
 	m := &hollowMember{name: config.Name, began: time.Now(), mail: make(chan func(), memberMailbox), done: make(chan struct{})}
-	config.Terms = share.Terms{Lease: hollowLease.Microseconds(), Renew: hollowLease.Microseconds() / renewsPerLease,
+	config.Terms = share.Terms{Lease: lease.Microseconds(), Renew: lease.Microseconds() / renewsPerLease,
 		Span: messagesSpan.Microseconds(), Messages: messagesMost, Members: len(config.Members), Kept: messagesKept}
 	var err error
 	if m.node, err = replica.New(config, hollowEvents{m}, slog.New(slog.DiscardHandler)); err != nil {
 		return nil, err
 	}
 	m.coordinator = share.New(hollowHost{m}, config.Name, config.Terms, m.now())
-	running.Go(func() { m.run(ctx, hollowLease/renewsPerLease/2) })
+	running.Go(func() { m.run(ctx, lease/renewsPerLease/2) })
 	running.Go(func() { m.node.Run(ctx) })
 	return m, nil
 }
@@ -117,7 +118,7 @@
 }
 
 // startMembers starts hollow members on loopback, and waits until all of them are on the record.
-func startMembers(ctx context.Context, running *sync.WaitGroup, size int) ([]*hollowMember, error) {
+func startMembers(ctx context.Context, running *sync.WaitGroup, size int, lease time.Duration) ([]*hollowMember, error) {
 	addresses, err := process.FreeAddresses(size)
 	if err != nil {
 		return nil, err
@@ -128,7 +129,7 @@
 	}
 	var members []*hollowMember
 	for i := range size {
-		m, err := startHollow(ctx, running, replica.Config{Name: memberName(i), Members: at})
+		m, err := startHollow(ctx, running, replica.Config{Name: memberName(i), Members: at}, lease)
 		if err != nil {
 			return nil, err
 		}
--- a/scale/recordhollow.go
+++ b/scale/recordhollow.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// recordHollow is what the record costs hollow controllers, all members, in one process.
-type recordHollow struct{}
+// recordHollow is what the record costs hollow controllers, all members, in one process: by their number, or by their lease.
+type recordHollow struct{ byLease bool }
 
 // What a hollow member takes, about: its connections are to every other.
 const (
@@ -17,26 +17,41 @@
 )
 
 // Describe says what it is.
-func (recordHollow) Describe() Description {
-	return Description{Name: "record-hollow", About: "The record, all controllers being members, hollow ones without proxies in one process",
+func (r recordHollow) Describe() Description {
+	d := Description{Name: "record-hollow", About: "The record, all controllers being members, hollow ones without proxies in one process",
 		Size: "members", Sizes: []int{3, 5, 7, 9, 15, 25, 35}, Targets: []int{100, controllersToCome}, Transport: "loopback",
 		Metrics: append(recordMetrics(),
 			Metric{Name: "processor", Unit: "% of a core", About: "processor time of a member, mean", Most: mostProcessor, Fit: true},
 			Metric{Name: "memory", Unit: "MB", About: "resident memory of a member, mean", Most: mostMegabytes, Fit: true})}
+	if r.byLease {
+		d.Name, d.About = "record-lease", "The record of the voters, hollow ones without proxies in one process, by their lease"
+		d.Size, d.Sizes, d.Targets = "ms of lease", []int{1500, 3000, 4500, 6000, 9000}, []int{int(voterLease.Milliseconds())}
+	}
+	return d
+}
+
+// members is how many there are at a size, and their lease.
+func (r recordHollow) members(size int, o Options) (members int, lease time.Duration) {
+	if r.byLease {
+		return o.Voters, time.Duration(size) * time.Millisecond
+	}
+	return size, usualLease
 }
 
 // Needs are those of our own process.
-func (recordHollow) Needs(size int, o Options) Needs {
+func (r recordHollow) Needs(size int, o Options) Needs {
+	size, _ = r.members(size, o)
 	return Needs{Memory: int64(size) * (hollowMemory + int64(size)*connectionMemory), Time: startsWithin + o.For}
 }
 
 // Run has members renew their leases, and reads what passed over their connections.
-func (recordHollow) Run(ctx context.Context, size int, o Options) (s Sample, err error) {
+func (r recordHollow) Run(ctx context.Context, size int, o Options) (s Sample, err error) {
+	size, lease := r.members(size, o)
 	var running sync.WaitGroup
 	defer running.Wait()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	members, err := startMembers(ctx, &running, size)
+	members, err := startMembers(ctx, &running, size, lease)
 	if err != nil {
 		return s, err
 	}
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -68,6 +68,7 @@
 	return []Measurement{
 		recordReal{},
 		recordHollow{},
+		recordHollow{byLease: true},
 		changeByFile{},
 		decisions{},
 		decisions{byProxies: true},
@@ -79,6 +80,7 @@
 		recoveryDelta{recoverySubscribers},
 		addedTime{},
 		distributed{},
+		distributed{whole: true},
 		distributedFaults{},
 	}
 }
--- a/scale/voters.go
+++ b/scale/voters.go
@@ -117,7 +117,7 @@
 // start begins a life of a voter, with the log and the votes that it had.
 func (v *voter) start() error {
 	limits := distribution.DefaultLimits()
-	limits.FanOut = v.fanOut
+	limits.FanOut, limits.PaceBytes = v.fanOut, setAsidePace
 	carrier := subscribe.New(subscribe.Config{
 		Node: distribution.Config{Name: v.name, Voter: true, Limits: limits},
 		Dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("a voter dials nobody") }})
@@ -128,7 +128,7 @@
 		carrier.Run(ctx)
 	})
 	member, err := startHollow(ctx, &v.ending, replica.Config{Name: v.name, Members: v.group.members,
-		Folder: filepath.Join(v.group.folder, v.name), Distribution: voterDistribution{carrier, v.group.content}})
+		Folder: filepath.Join(v.group.folder, v.name), Distribution: voterDistribution{carrier, v.group.content}}, voterLease)
 	if err != nil {
 		stop()
 		v.ending.Wait()
