--- a/cmd/wheelrill/serve.go
+++ b/cmd/wheelrill/serve.go
@@ -83,7 +83,7 @@
 	if d := given.Distribution; d != nil {
 		if err := c.Distribute(controller.Distribution{Voter: d.Role == options.Voter, Name: d.Name, Parents: d.Parents,
 			Scopes: d.Scopes, AllScopes: slices.Equal(d.Scopes, []string{options.AllScopes}), Listen: d.Listen, Folder: d.Folder,
-			FanOut:      d.FanOut,
+			FanOut: d.FanOut, SnapshotPace: d.SnapshotPace,
 			Credentials: replica.Credentials{Certificate: d.Certificate, Key: d.Key, Authority: d.Authority}}); err != nil {
 			return fmt.Errorf("%s: distribution: %w", path, err)
 		}
--- a/controller/distribution.go
+++ b/controller/distribution.go
@@ -23,7 +23,7 @@
 // Distribution says what part a controller has in the distribution of configuration.
 type Distribution struct {
 	// Voter: it is a member that shares the record, and hands the configuration on to subscribers. Of what follows only
-	// FanOut counts then.
+	// FanOut and SnapshotPace count then.
 	Voter   bool
 	Name    string            // of a subscriber; the controller's own if empty
 	Parents map[string]string // addresses of voters, or of subscribers that pass on, by their names
@@ -33,6 +33,8 @@
 	Listen    string // where others subscribe, and how they are told to dial; empty: it passes nothing on
 	Folder    string // where a subscriber keeps what it has; empty: a restart begins with nothing
 	FanOut    int    // that subscribe here at most; 0 is as usual
+	// SnapshotPace is how many bytes a second all snapshots that are sent from here take together; 0 is as usual.
+	SnapshotPace int
 	replica.Credentials
 
 	limits distribution.Limits // of the node; usual ones where it is zero
@@ -85,6 +87,9 @@
 	if limits == (distribution.Limits{}) {
 		limits = distribution.DefaultLimits()
 	}
+	if d.SnapshotPace > 0 {
+		limits.PaceBytes = d.SnapshotPace
+	}
 	switch {
 	case !d.Voter && d.Listen == "":
 		limits.FanOut = 0
--- a/distribution/content_test.go
+++ b/distribution/content_test.go
@@ -173,6 +173,37 @@
 	}
 }
 
+// A pace above a window for each call of Elapsed is made use of: what a child confirms lets the next pieces go.
+func TestFastPace(t *testing.T) {
+	limits := DefaultLimits()
+	limits.PaceBytes = 16 * mebibyte
+	c := newCluster()
+	v := c.add(voter("v", limits))
+	for i := range 400 {
+		c.accept(set("a", fmt.Sprint(i), string(make([]byte, 5000))))
+	}
+	c.pass(tick, tick)
+	leaf := c.add(subscriber("leaf", SomeScopes("a"), limits, "v"))
+	c.pass(second/2, tick)
+	c.expectCaughtUp(t, v, leaf)
+	if counts := leaf.node.Status(c.now).Counts; counts.SnapshotsTaken != 1 {
+		t.Errorf("counts %+v", counts)
+	}
+}
+
+// A pause of hours, as of a machine that was suspended, gives no more credit than a second does.
+func TestPaceAfterAPause(t *testing.T) {
+	limits := DefaultLimits()
+	limits.PaceBytes = 1 << 30
+	n := &Node{limits: limits}
+	for _, pause := range []int64{second, 24 * 3600 * second, 365 * 24 * 3600 * second} {
+		n.credit = 0
+		if n.refill(n.refilledAt + pause); n.credit != int64(limits.PaceBytes)/creditsPerSecond*microsecondsPerSecond {
+			t.Errorf("after %d s: a credit of %d", pause/second, n.credit)
+		}
+	}
+}
+
 func TestCompactedRevision(t *testing.T) {
 	for _, story := range []struct {
 		name       string
--- a/distribution/feed.go
+++ b/distribution/feed.go
@@ -117,8 +117,9 @@
 func (n *Node) refill(now int64) {
 	pace := int64(n.limits.PaceBytes)
 	most := max(int64(n.limits.PieceBytes), pace/creditsPerSecond) * microsecondsPerSecond
-	n.credit = min(n.credit+(now-n.elapsed)*pace, most)
-	n.elapsed = now
+	passed := min(now-n.refilledAt, second) // more adds nothing, and could overflow after a long pause
+	n.credit = min(n.credit+passed*pace, most)
+	n.refilledAt = now
 }
 
 // sendPieces sends pieces of the snapshots under way in turn, while there is credit. A piece may overdraw it.
--- a/distribution/node.go
+++ b/distribution/node.go
@@ -80,12 +80,12 @@
 	store  *store
 	counts Counts
 
-	lastLink Link
-	callers  []caller // links that came in and have not subscribed yet
-	children []*child // in the order of their admission
-	credit   int64    // µbytes that snapshots may send now; below zero after a piece larger than was left
-	elapsed  int64    // the last call of Elapsed
-	turn     int      // the child that the next piece is for
+	lastLink   Link
+	callers    []caller // links that came in and have not subscribed yet
+	children   []*child // in the order of their admission
+	credit     int64    // µbytes that snapshots may send now; below zero after a piece larger than was left
+	refilledAt int64    // when credit was last added
+	turn       int      // the child that the next piece is for
 
 	parent     *upstream   // the place that this node has
 	attempts   []*upstream // to get one, or a better one
@@ -112,7 +112,7 @@
 
 // New starts a node. A voter has nothing until Restored or Accepted; a subscriber dials at the first Elapsed.
 func New(config Config, host Host, now int64) *Node {
-	n := &Node{config: config, host: host, limits: config.Limits, elapsed: now, nextDial: now}
+	n := &Node{config: config, host: host, limits: config.Limits, refilledAt: now, nextDial: now}
 	if config.Voter {
 		n.config.Scopes = AllScopes()
 		n.config.Floor = Mark{} // the record's log is replayed from an older state after a restart
--- a/distribution/parent.go
+++ b/distribution/parent.go
@@ -294,6 +294,10 @@
 		c.confirmed++
 	}
 	n.feed(c, now)
+	if c.snapshot != nil { // a window may be confirmed many times between two calls of Elapsed
+		n.refill(now)
+		n.sendPieces(now)
+	}
 }
 
 // watchChildren ends leases that were not renewed, and callers that do not subscribe.
--- a/options/distribution.go
+++ b/options/distribution.go
@@ -20,6 +20,8 @@
 	Authority   string            `yaml:"authority"`
 	Plain       bool              `yaml:"plain"`
 	FanOut      int               `yaml:"fan_out"`
+	// SnapshotPace is how many bytes a second all snapshots to subscribers take together; 0 is as usual.
+	SnapshotPace int `yaml:"snapshot_bytes_per_s"`
 }
 
 // Roles that a controller can have.
@@ -34,6 +36,8 @@
 // Bounds of the options of distribution.
 const (
 	mostFanOut = 256
+	leastPace  = 1 << 10 // bytes a second
+	mostPace   = 1 << 30
 	mostScopes = 4096
 	mostScope  = 256 // bytes
 	mostName   = 192 // bytes
@@ -44,6 +48,10 @@
 	if d.FanOut < 0 || d.FanOut > mostFanOut {
 		return l.problem("distribution.fan_out", "is %d; give a number from 1 to %d, or leave it out", d.FanOut, mostFanOut)
 	}
+	if d.SnapshotPace != 0 && (d.SnapshotPace < leastPace || d.SnapshotPace > mostPace) {
+		return l.problem("distribution.snapshot_bytes_per_s", "is %d; give a number from %d to %d, or leave it out", d.SnapshotPace, leastPace,
+			mostPace)
+	}
 	switch d.Role {
 	case Voter:
 		return d.checkVoter(l, sharing)
@@ -101,6 +109,8 @@
 		}
 	} else if d.FanOut > 0 {
 		return l.problem("distribution.fan_out", "is for one that passes on; give listen as well, or leave it out")
+	} else if d.SnapshotPace > 0 {
+		return l.problem("distribution.snapshot_bytes_per_s", "is for one that passes on; give listen as well, or leave it out")
 	}
 	given := 0
 	for _, path := range []string{d.Certificate, d.Key, d.Authority} {
--- a/options/distribution_test.go
+++ b/options/distribution_test.go
@@ -15,11 +15,13 @@
   listen: 127.0.0.1:9017
   fan_out: 8
   plain: true
+  snapshot_bytes_per_s: 16777216
 `
 
 const voting = good + `distribution:
   role: voter
   fan_out: 16
+  snapshot_bytes_per_s: 1024
 `
 
 func TestParseDistribution(t *testing.T) {
@@ -27,10 +29,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if d := f.Distribution; d.Role != Subscriber || d.Parents["n1"] != "127.0.0.1:9002" || len(d.Scopes) != 2 || d.FanOut != 8 {
+	if d := f.Distribution; d.Role != Subscriber || d.Parents["n1"] != "127.0.0.1:9002" || len(d.Scopes) != 2 || d.FanOut != 8 || d.SnapshotPace != 16<<20 {
 		t.Errorf("got %+v", d)
 	}
-	if f, err := Parse("w.yaml", []byte(voting)); err != nil || f.Distribution.Role != Voter || f.Distribution.FanOut != 16 {
+	if f, err := Parse("w.yaml", []byte(voting)); err != nil || f.Distribution.Role != Voter || f.Distribution.FanOut != 16 || f.Distribution.SnapshotPace != 1024 {
 		t.Errorf("got %+v, %v", f, err)
 	}
 	if _, err := Parse("w.yaml", []byte(strings.Replace(subscribing, "[pricing, orders]", `["*"]`, 1))); err != nil {
@@ -58,6 +60,10 @@
 		{subscribing, "listen: 127.0.0.1:9017", "listen: 0.0.0.0:9017", "w.yaml:8: distribution.listen: 0.0.0.0:9017 is not on loopback"},
 		{subscribing, "  listen: 127.0.0.1:9017\n", "", "w.yaml:8: distribution.fan_out: is for one that passes on"},
 		{subscribing, "fan_out: 8", "fan_out: 257", "w.yaml:9: distribution.fan_out: is 257"},
+		{subscribing, "  listen: 127.0.0.1:9017\n  fan_out: 8\n", "", "w.yaml:9: distribution.snapshot_bytes_per_s: is for one that passes on"},
+		{subscribing, "16777216", "1023", "w.yaml:11: distribution.snapshot_bytes_per_s: is 1023; give a number from 1024 to 1073741824"},
+		{subscribing, "16777216", "-1", "w.yaml:11: distribution.snapshot_bytes_per_s: is -1"},
+		{voting, ": 1024", ": 1073741825", "w.yaml:12: distribution.snapshot_bytes_per_s: is 1073741825"},
 		{subscribing, "plain: true", "plain: false", "w.yaml:2: distribution: needs certificate, key and authority"},
 		{subscribing, "plain: true", "plain: true\n  key: k.pem", "w.yaml:10: distribution.plain: goes without"},
 		{voting, "fan_out: 16", "scopes: [pricing]", "w.yaml:11: distribution.scopes: is for subscribers"},
--- a/scale/content.go
+++ b/scale/content.go
@@ -25,21 +25,30 @@
 
 func groupScope(group int) string { return fmt.Sprintf("group/%03d", group) }
 
-func groupsOf(controllers int) int {
-	return max(1, (controllers+controllersPerGroup-1)/controllersPerGroup)
+// contentShape is how much is distributed: groups of services, and entries of each.
+type contentShape struct{ groups, ofEach int }
+
+// smallContent has as many groups as so many controllers serve, and of each service one entry.
+func smallContent(controllers int) contentShape {
+	return contentShape{groups: max(1, (controllers+controllersPerGroup-1)/controllersPerGroup), ofEach: servicesPerGroup}
 }
 
+// wholeContent is all that there will be, however many controllers there are.
+func wholeContent() contentShape { return contentShape{groups: groupsToCome, ofEach: entriesServed} }
+
 // content is the configuration as it was proposed, change by change: what nodes are compared with.
 type content struct {
-	mutex   sync.Mutex
-	random  *rand.Rand
-	groups  int
-	changes []distribution.Change // by revision, as voters accepted them
-	stood   map[uint64]time.Time  // when the first voter had a revision from the record
+	mutex    sync.Mutex
+	random   *rand.Rand
+	shape    contentShape
+	revision uint64                          // the newest that was accepted
+	byScope  map[string][]distribution.Entry // as voters accepted them, by revision
+	stood    map[uint64]time.Time            // when the first voter had a revision from the record
 }
 
-func newContent(groups int, seed uint64) *content {
-	return &content{random: rand.New(rand.NewPCG(seed, contentSeed)), groups: groups, stood: map[uint64]time.Time{}}
+func newContent(shape contentShape, seed uint64) *content {
+	return &content{random: rand.New(rand.NewPCG(seed, contentSeed)), shape: shape, byScope: map[string][]distribution.Entry{},
+		stood: map[uint64]time.Time{}}
 }
 
 const contentSeed = 7 // tells what is drawn here from what is drawn elsewhere by the same seed
@@ -51,9 +60,9 @@
 		common = append(common, c.entry(commonScope, fmt.Sprintf("tenant/%d", i)))
 	}
 	proposals = append(proposals, common)
-	for group := range c.groups {
+	for group := range c.shape.groups {
 		var entries []distribution.Entry
-		for i := range servicesPerGroup {
+		for i := range c.shape.ofEach {
 			entries = append(entries, c.entry(groupScope(group), fmt.Sprintf("service/%d", i)))
 		}
 		proposals = append(proposals, entries)
@@ -71,7 +80,7 @@
 
 // draw gives the entries of the next change: some of one group, or some that go to all.
 func (c *content) draw() (entries []distribution.Entry) {
-	scope, names, kind := groupScope(c.random.IntN(c.groups)), servicesPerGroup, "service"
+	scope, names, kind := groupScope(c.random.IntN(c.shape.groups)), c.shape.ofEach, "service"
 	if c.random.IntN(commonChanges) == 0 {
 		scope, names, kind = commonScope, commonEntries, "tenant"
 	}
@@ -95,8 +104,13 @@
 func (c *content) accepted(change distribution.Change) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.changes) == 0 || c.changes[len(c.changes)-1].Revision < change.Revision {
-		c.changes, c.stood[change.Revision] = append(c.changes, change), time.Now()
+	if change.Revision <= c.revision {
+		return
+	}
+	c.revision, c.stood[change.Revision] = change.Revision, time.Now()
+	for _, e := range change.Entries {
+		e.Revision = change.Revision
+		c.byScope[e.Scope] = append(c.byScope[e.Scope], e)
 	}
 }
 
@@ -119,10 +133,7 @@
 func (c *content) last() uint64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.changes) == 0 {
-		return 0
-	}
-	return c.changes[len(c.changes)-1].Revision
+	return c.revision
 }
 
 // newest is the last revision of each scope up to one.
@@ -130,10 +141,11 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	of := map[string]uint64{}
-	for _, change := range c.changes {
-		for _, e := range change.Entries {
-			if change.Revision <= revision {
-				of[e.Scope] = change.Revision
+	for scope, entries := range c.byScope {
+		for _, e := range slices.Backward(entries) {
+			if e.Revision <= revision {
+				of[scope] = e.Revision
+				break
 			}
 		}
 	}
@@ -145,18 +157,18 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	state := map[distribution.Key]distribution.Entry{}
-	for _, change := range c.changes {
-		if change.Revision > revision {
-			break
+	for scope, entries := range c.byScope {
+		if !scopes.Has(scope) {
+			continue
 		}
-		for _, e := range change.Entries {
-			switch key := e.Key(); {
-			case !scopes.Has(e.Scope):
-			case e.Deleted:
-				delete(state, key)
-			default:
-				e.Revision = change.Revision
-				state[key] = e
+		for _, e := range entries {
+			if e.Revision > revision {
+				break
+			}
+			if e.Deleted {
+				delete(state, e.Key())
+			} else {
+				state[e.Key()] = e
 			}
 		}
 	}
--- a/scale/distribution.go
+++ b/scale/distribution.go
@@ -8,7 +8,9 @@
 )
 
 // distributed is what distribution below the record costs and how fast it is: voters, distributors and subscribers.
-type distributed struct{}
+type distributed struct {
+	whole bool // all entries that there will be are distributed, and not one for each service
+}
 
 // treeRole is a role as figures are given of it.
 type treeRole struct{ name, about string }
@@ -22,9 +24,14 @@
 const recordBytes = "voter_record_bytes_per_s"
 
 // Describe says what it is.
-func (distributed) Describe() Description {
+func (m distributed) Describe() Description {
 	d := Description{Name: "distribution", About: "Distribution below the record, hollow subscribers in one process", Size: "subscribers",
 		Sizes: []int{110, 350, 1100, 3500}, Targets: []int{controllersToCome}, Transport: "memory"}
+	if m.whole {
+		d.Name, d.Sizes, d.Targets = "distribution-whole", []int{1100}, nil
+		d.About = fmt.Sprintf("Distribution below the record with all %d entries, %d to a subscriber, hollow subscribers in one process",
+			entriesOfAll, entriesServed)
+	}
 	for _, rate := range changeRates() {
 		d.Metrics = append(d.Metrics,
 			Metric{Name: "half" + rate.suffix, Unit: "s", About: "until in force, 50 in 100, " + rate.about, Most: mostInForce, Fit: true},
@@ -53,15 +60,23 @@
 	return d
 }
 
+// content is what is distributed to so many subscribers.
+func (m distributed) content(size int) contentShape {
+	if m.whole {
+		return wholeContent()
+	}
+	return smallContent(size)
+}
+
 // Needs are those of all nodes in our process.
-func (distributed) Needs(size int, o Options) Needs {
-	return Needs{Memory: treeMemory + int64(size)*subscriberMemory,
+func (m distributed) Needs(size int, o Options) Needs {
+	return Needs{Memory: treeNeeds(size, m.content(size), o),
 		Time: startsWithin + readyWithin + time.Duration(len(changeRates()))*(o.For+settleWithin)}
 }
 
 // Run makes changes at each pace, and reads what each node passed on and when it acted.
-func (distributed) Run(ctx context.Context, size int, o Options) (s Sample, err error) {
-	t, err := newTree(ctx, size, o)
+func (m distributed) Run(ctx context.Context, size int, o Options) (s Sample, err error) {
+	t, err := newTree(ctx, size, m.content(size), o)
 	if err != nil {
 		return s, err
 	}
--- a/scale/distribution_test.go
+++ b/scale/distribution_test.go
@@ -14,16 +14,6 @@
 // hollowInCI is how many hollow subscribers CI plays; distributors and voters come beside them.
 const hollowInCI = 110
 
-// mostAtLeader is what the record may cost its leader. It is over the budget of a controller today, as each voter renews
-// its lease on the record five times a second whether or not it owns proxies: docs/CAPACITY.md says so. No more than that
-// is let pass.
-const mostAtLeader = 80_000
-
-// expected tells whether a breach is that one.
-func expected(b Breach) bool {
-	return strings.HasPrefix(b.Metric.Name, recordBytes+"_leader") && b.Value <= mostAtLeader
-}
-
 // plays runs a measurement at a size and for a time at which CI bears it, and fails when a budget or a digest does.
 // Processor time is left aside where the race detector takes most of it.
 func plays(t *testing.T, m Measurement, span time.Duration) *Run {
@@ -36,7 +26,7 @@
 		t.Error(text)
 	}
 	for _, b := range r.Breaches() {
-		if !expected(b) && (!raceDetected || b.Metric.Unit != "% of a core") {
+		if !raceDetected || b.Metric.Unit != "% of a core" {
 			t.Error(b)
 		}
 	}
@@ -71,7 +61,7 @@
 // TestContentDiffers has each way in which a node can be at a wrong or a mixed revision be seen.
 func TestContentDiffers(t *testing.T) {
 	scopes := distribution.SomeScopes("a", "b")
-	c := newContent(1, 1)
+	c := newContent(contentShape{groups: 1, ofEach: servicesPerGroup}, 1)
 	set := func(revision uint64, entries ...distribution.Entry) {
 		c.accepted(distribution.Change{Revision: revision, Entries: entries})
 	}
@@ -100,7 +90,7 @@
 
 // TestInForceSeesOlder has a subscriber that goes back to an older revision be seen, and late changes be counted as late.
 func TestInForceSeesOlder(t *testing.T) {
-	f := newInForce(newContent(1, 1))
+	f := newInForce(newContent(contentShape{groups: 1, ofEach: servicesPerGroup}, 1))
 	s := &hollowSubscriber{name: "s", inForce: f, reachable: time.Now().Add(-time.Hour)}
 	late := time.Now().Add(-4 * time.Second).UnixMicro()
 	s.apply(distribution.Change{Revision: 5, Entries: []distribution.Entry{{Scope: "a", Name: "x", Revision: 5, AcceptedAt: late}}}, false)
--- a/scale/recoverysnapshot.go
+++ b/scale/recoverysnapshot.go
@@ -61,7 +61,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer stop()
-	network, content := newNetwork(), newContent(1, o.Seed)
+	network, content := newNetwork(), newContent(contentShape{groups: 1, ofEach: size}, o.Seed)
 	entries := make([]distribution.Entry, size)
 	for i := range entries {
 		entries[i] = content.entry(groupScope(0), fmt.Sprintf("service/%d", i))
--- a/scale/recoverytree.go
+++ b/scale/recoverytree.go
@@ -49,7 +49,7 @@
 
 // Run restarts so many subscribers, drawn by the seed, as often as there are repeats.
 func (m recoveryTree) Run(ctx context.Context, size int, o Options) (s Sample, err error) {
-	t, err := newTree(ctx, max(size, m.subscribers), o)
+	t, err := newTree(ctx, max(size, m.subscribers), smallContent(max(size, m.subscribers)), o)
 	if err != nil {
 		return s, err
 	}
@@ -124,7 +124,7 @@
 
 // Run cuts a region without voters off while so many changes are made.
 func (m recoveryDelta) Run(ctx context.Context, size int, o Options) (s Sample, err error) {
-	t, err := newTree(ctx, m.subscribers, o)
+	t, err := newTree(ctx, m.subscribers, smallContent(m.subscribers), o)
 	if err != nil {
 		return s, err
 	}
--- a/scale/subscriber.go
+++ b/scale/subscriber.go
@@ -50,6 +50,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	limits := distribution.DefaultLimits()
 	limits.FanOut = s.fanOut
+	if s.role == roleDistributor {
+		limits.PaceBytes = setAsidePace
+	}
 	carrier := subscribe.New(subscribe.Config{
 		Node:  distribution.Config{Name: s.name, Scopes: s.scopes, Candidates: s.candidates, Limits: limits},
 		Dial:  func(ctx context.Context, peer string) (net.Conn, error) { return s.network.dial(ctx, s.region, peer) },
--- a/scale/tree.go
+++ b/scale/tree.go
@@ -19,12 +19,18 @@
 	regions            = 25
 	distributorsToCome = mostMachines - usualVoters // of the machines set aside, those that do not vote
 	usualVoters        = 5
-	distributorFanOut  = 64 // its children are of some groups each; with 16, groups find no place at 11,000
+	mostFanOut         = 64 // of a distributor, whose children are of some groups each; with 16, groups find no place at 11,000
+	leastFanOut        = 8
+	belowDistributors  = 10       // one controller in so many is right below a distributor, whatever the size
+	setAsidePace       = 16 << 20 // bytes a second of the snapshots from a voter or distributor, on machines set aside
 	leastDistributors  = 2
 	distributorsKnown  = 3 // that a subscriber is configured with as possible parents
 	peersKnown         = 2 // of its group
 	subscriberMemory   = 120 << 10
 	treeMemory         = 256 << 20
+	entryMemory        = 192 // bytes, about, of one that is kept
+	collectedAt        = 2   // times what is in use the heap grows to
+	copiesAtVoter      = 3   // of all entries: as raft has them in its log, on the record and for subscribers
 	readyWithin        = 5 * time.Minute
 	checkedAtOnce      = 20 // subscribers compared with the content at a point drawn
 	timeBetweenChecks  = time.Second
@@ -54,9 +60,22 @@
 	return max(leastDistributors, (distributorsToCome*controllers+controllersToCome-1)/controllersToCome)
 }
 
+// treeNeeds is the memory that an installation takes with its content, before it is collected.
+func treeNeeds(size int, shape contentShape, o Options) int64 {
+	nodes, holdAll := int64(size), int64(o.Voters*copiesAtVoter+distributorsOf(size)+1) // the one that they are compared with
+	all := int64(shape.groups * shape.ofEach)
+	entries := nodes*int64(shape.ofEach) + holdAll*all
+	return treeMemory + nodes*subscriberMemory + collectedAt*entries*entryMemory
+}
+
+// distributorFanOut is how many places each distributor has.
+func distributorFanOut(controllers int) int {
+	return min(max(controllers/belowDistributors/distributorsOf(controllers), leastFanOut), mostFanOut)
+}
+
 // newTree starts an installation, and waits until each node has its configuration.
-func newTree(ctx context.Context, size int, o Options) (*tree, error) {
-	t := &tree{options: o, network: newNetwork(), content: newContent(groupsOf(size), o.Seed), random: rand.New(rand.NewPCG(o.Seed, treeSeed)),
+func newTree(ctx context.Context, size int, shape contentShape, o Options) (*tree, error) {
+	t := &tree{options: o, network: newNetwork(), content: newContent(shape, o.Seed), random: rand.New(rand.NewPCG(o.Seed, treeSeed)),
 		faultDraws: rand.New(rand.NewPCG(o.Seed, faultSeed))}
 	t.inForce = newInForce(t.content)
 	var err error
@@ -82,16 +101,16 @@
 	}
 	for i := range distributorsOf(size) {
 		t.distributors = append(t.distributors, &hollowSubscriber{name: fmt.Sprint("distributor/", i), role: roleDistributor,
-			region: (len(voters) + i) % regions, scopes: distribution.AllScopes(), candidates: voters, fanOut: distributorFanOut})
+			region: (len(voters) + i) % regions, scopes: distribution.AllScopes(), candidates: voters, fanOut: distributorFanOut(size)})
 	}
 	for i := range size {
 		s := &hollowSubscriber{name: fmt.Sprint("subscriber/", i), region: i % regions, fanOut: distribution.DefaultFanOut,
-			scopes: distribution.SomeScopes(commonScope, groupScope(i%t.content.groups))}
+			scopes: distribution.SomeScopes(commonScope, groupScope(i%t.content.shape.groups))}
 		for _, d := range t.random.Perm(len(t.distributors))[:min(distributorsKnown, len(t.distributors))] {
 			s.candidates = append(s.candidates, t.distributors[d].name)
 		}
 		for range peersKnown {
-			peer := i%t.content.groups + t.content.groups*t.random.IntN((size+t.content.groups-1)/t.content.groups)
+			peer := i%t.content.shape.groups + t.content.shape.groups*t.random.IntN((size+t.content.shape.groups-1)/t.content.shape.groups)
 			s.candidates = append(s.candidates, fmt.Sprint("subscriber/", peer))
 		}
 		t.subscribers = append(t.subscribers, s)
--- a/scale/voters.go
+++ b/scale/voters.go
@@ -41,7 +41,7 @@
 	for i := range n {
 		v := &voter{group: g}
 		v.name, v.role, v.region, v.network, v.inForce = voterName(i), roleVoter, i, network, inForce
-		v.scopes, v.fanOut = distribution.AllScopes(), distributorFanOut
+		v.scopes, v.fanOut = distribution.AllScopes(), mostFanOut
 		g.voters, g.members[v.name] = append(g.voters, v), addresses[i]
 	}
 	return g, nil
