decide: on old news a release is capped ahead only where something waited before

At fault: foresee takes 1.3 times what was let in for what the fleet can do, and where a report line covers 16 s nothing corrects that sooner. Change: where lines cover more than the longest deadline, the guess is made only after a look with a heat over calmAt. The new story fails without the change.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -834,7 +834,8 @@
 }
 
 // foresee reckons what the list has just taken of our lines against what was proven: reports show a queue
-// when it stands. Where none ever did, all that is known is what was let in without one, and a guess.
+// when it stands. Where none ever did, all that is known is what was let in without one, and a guess. Old
+// news takes long to show that it was too low, so there it is made only where something waited already.
 func (c *Controller) foresee(now int64, stood, lost float64) {
 	a, came, ours := &c.levels, 0., 0.
 	for class := range c.classes {
@@ -850,7 +851,7 @@
 		return
 	case a.part > 0:
 		a.limit *= 1 - lost/stood
-	case a.proven > 0 && came > able:
+	case a.proven > 0 && came > able && (c.every <= a.deadline || a.heat > calmAt):
 		a.able, a.part, a.limit, a.widenedAt = spare*a.proven, 1, able, now
 	}
 	if was := a.bound; a.part > 0 && was != (came > a.limit) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1209,6 +1209,25 @@
 			}
 		})
 	})
+	t.Run("where news is old a release is met by a cap only if something waited before it", func(t *testing.T) {
+		// Found on a large day of releases: answers as quick as ever, and four requests in ten refused for 12 s, as
+		// it took that long to hear that the fleet could do more than was let in before.
+		for mean, capped := range map[int64]bool{250_000: false, 420_000: true} {
+			s := begin(t, usual(), 16, 3)
+			s.plays(60, func() {
+				for b := range 16 {
+					s.c.Heard(b, 10, 0, mean, 20*second, Load{Busy: -1, Waiting: -1, Service: -1})
+				}
+				s.late(20 * second)
+			})
+			if s.c.levels.proven == 0 || s.c.every <= s.c.levels.deadline {
+				t.Fatalf("%.4f proven, reports cover %.1f s", s.c.levels.proven, s.c.every/float64(second))
+			}
+			if s.lists(0, 8, Draining, 0); s.c.levels.bound != capped {
+				t.Errorf("answers after %d ms, a heat of %.2f: capped %v", mean/1000, s.c.levels.heat, !capped)
+			}
+		}
+	})
 	t.Run("where a queue stood once, a drain takes its part of the limit at once", func(t *testing.T) {
 		s := begin(t, usual(), 16, 3)
 		s.plays(2, jam(s))
