scale: the installation with all entries has all distributors, as subscribers need places

Cause: distribution-whole at 110 subscribers in 100 groups had 16 places at distributors, and 91 found none within five minutes (trial; refused as full or not covered).

--- a/scale/distribution.go
+++ b/scale/distribution.go
@@ -60,23 +60,23 @@
 	return d
 }
 
-// content is what is distributed to so many subscribers.
-func (m distributed) content(size int) contentShape {
+// plan is the installation at a size.
+func (m distributed) plan(size int) treePlan {
 	if m.whole {
-		return wholeContent()
+		return wholeTree(size)
 	}
-	return smallContent(size)
+	return scaledTree(size)
 }
 
 // Needs are those of all nodes in our process.
 func (m distributed) Needs(size int, o Options) Needs {
-	return Needs{Memory: treeNeeds(size, m.content(size), o),
+	return Needs{Memory: m.plan(size).memory(o),
 		Time: startsWithin + readyWithin + time.Duration(len(changeRates()))*(o.For+settleWithin)}
 }
 
 // Run makes changes at each pace, and reads what each node passed on and when it acted.
 func (m distributed) Run(ctx context.Context, size int, o Options) (s Sample, err error) {
-	t, err := newTree(ctx, size, m.content(size), o)
+	t, err := newTree(ctx, m.plan(size), o)
 	if err != nil {
 		return s, err
 	}
--- a/scale/faults.go
+++ b/scale/faults.go
@@ -55,13 +55,13 @@
 
 // Needs are those of all nodes in our process.
 func (distributedFaults) Needs(size int, o Options) Needs {
-	return Needs{Memory: treeNeeds(size, smallContent(size), o),
+	return Needs{Memory: scaledTree(size).memory(o),
 		Time: startsWithin + readyWithin + time.Duration(len(treeFaults()))*(o.For+healsFor+settleWithin)}
 }
 
 // Run plays one fault after the other.
 func (distributedFaults) Run(ctx context.Context, size int, o Options) (s Sample, err error) {
-	t, err := newTree(ctx, size, smallContent(size), o)
+	t, err := newTree(ctx, scaledTree(size), o)
 	if err != nil {
 		return s, err
 	}
--- a/scale/recoverytree.go
+++ b/scale/recoverytree.go
@@ -37,7 +37,7 @@
 
 // Needs are those of all nodes in our process.
 func (m recoveryTree) Needs(size int, o Options) Needs {
-	return Needs{Memory: treeMemory + int64(max(size, m.subscribers))*subscriberMemory,
+	return Needs{Memory: scaledTree(max(size, m.subscribers)).memory(o),
 		Time: o.For + startsWithin + 2*readyWithin}
 }
 
@@ -49,7 +49,7 @@
 
 // Run restarts so many subscribers, drawn by the seed, as often as there are repeats.
 func (m recoveryTree) Run(ctx context.Context, size int, o Options) (s Sample, err error) {
-	t, err := newTree(ctx, max(size, m.subscribers), smallContent(max(size, m.subscribers)), o)
+	t, err := newTree(ctx, scaledTree(max(size, m.subscribers)), o)
 	if err != nil {
 		return s, err
 	}
@@ -118,13 +118,13 @@
 }
 
 // Needs are those of all nodes in our process.
-func (m recoveryDelta) Needs(int, Options) Needs {
-	return Needs{Memory: treeMemory + int64(m.subscribers)*subscriberMemory, Time: startsWithin + 2*readyWithin + proposeAll}
+func (m recoveryDelta) Needs(_ int, o Options) Needs {
+	return Needs{Memory: scaledTree(m.subscribers).memory(o), Time: startsWithin + 2*readyWithin + proposeAll}
 }
 
 // Run cuts a region without voters off while so many changes are made.
 func (m recoveryDelta) Run(ctx context.Context, size int, o Options) (s Sample, err error) {
-	t, err := newTree(ctx, m.subscribers, smallContent(m.subscribers), o)
+	t, err := newTree(ctx, scaledTree(m.subscribers), o)
 	if err != nil {
 		return s, err
 	}
--- a/scale/tree.go
+++ b/scale/tree.go
@@ -56,26 +56,36 @@
 	distributorsReady time.Duration
 }
 
-func distributorsOf(controllers int) int {
-	return max(leastDistributors, (distributorsToCome*controllers+controllersToCome-1)/controllersToCome)
+// treePlan is the size of an installation.
+type treePlan struct {
+	subscribers  int
+	content      contentShape
+	distributors int
+	fanOut       int // places at each distributor
 }
 
-// treeNeeds is the memory that an installation takes with its content, before it is collected.
-func treeNeeds(size int, shape contentShape, o Options) int64 {
-	nodes, holdAll := int64(size), int64(o.Voters*copiesAtVoter+distributorsOf(size)+1) // the one that they are compared with
-	all := int64(shape.groups * shape.ofEach)
-	entries := nodes*int64(shape.ofEach) + holdAll*all
-	return treeMemory + nodes*subscriberMemory + collectedAt*entries*entryMemory
+// scaledTree is an installation with as much of everything for a subscriber as there will be, but one entry for each service.
+func scaledTree(subscribers int) treePlan {
+	distributors := max(leastDistributors, (distributorsToCome*subscribers+controllersToCome-1)/controllersToCome)
+	fanOut := min(max(subscribers/belowDistributors/distributors, leastFanOut), mostFanOut)
+	return treePlan{subscribers, smallContent(subscribers), distributors, fanOut}
+}
+
+// wholeTree has all content and all distributors, whatever the number of subscribers.
+func wholeTree(subscribers int) treePlan {
+	return treePlan{subscribers, wholeContent(), distributorsToCome, mostFanOut}
 }
 
-// distributorFanOut is how many places each distributor has.
-func distributorFanOut(controllers int) int {
-	return min(max(controllers/belowDistributors/distributorsOf(controllers), leastFanOut), mostFanOut)
+// memory is what the installation takes before garbage is collected.
+func (p treePlan) memory(o Options) int64 {
+	nodes, holdAll := int64(p.subscribers), int64(o.Voters*copiesAtVoter+p.distributors+1) // the one that they are compared with
+	entries := nodes*int64(p.content.ofEach) + holdAll*int64(p.content.groups*p.content.ofEach)
+	return treeMemory + nodes*subscriberMemory + collectedAt*entries*entryMemory
 }
 
 // newTree starts an installation, and waits until each node has its configuration.
-func newTree(ctx context.Context, size int, shape contentShape, o Options) (*tree, error) {
-	t := &tree{options: o, network: newNetwork(), content: newContent(shape, o.Seed), random: rand.New(rand.NewPCG(o.Seed, treeSeed)),
+func newTree(ctx context.Context, plan treePlan, o Options) (*tree, error) {
+	t := &tree{options: o, network: newNetwork(), content: newContent(plan.content, o.Seed), random: rand.New(rand.NewPCG(o.Seed, treeSeed)),
 		faultDraws: rand.New(rand.NewPCG(o.Seed, faultSeed))}
 	t.inForce = newInForce(t.content)
 	var err error
@@ -85,7 +95,7 @@
 	if t.voters, err = newVoters(o.Voters, t.folder, t.network, t.content, t.inForce); err != nil {
 		return nil, err
 	}
-	t.place(size)
+	t.place(plan)
 	if err := t.start(ctx); err != nil {
 		t.close()
 		return nil, err
@@ -94,23 +104,23 @@
 }
 
 // place makes the nodes, with their regions, scopes and possible parents.
-func (t *tree) place(size int) {
+func (t *tree) place(plan treePlan) {
 	var voters []string
 	for _, v := range t.voters.voters {
 		voters = append(voters, v.name)
 	}
-	for i := range distributorsOf(size) {
+	for i := range plan.distributors {
 		t.distributors = append(t.distributors, &hollowSubscriber{name: fmt.Sprint("distributor/", i), role: roleDistributor,
-			region: (len(voters) + i) % regions, scopes: distribution.AllScopes(), candidates: voters, fanOut: distributorFanOut(size)})
+			region: (len(voters) + i) % regions, scopes: distribution.AllScopes(), candidates: voters, fanOut: plan.fanOut})
 	}
-	for i := range size {
+	for i := range plan.subscribers {
 		s := &hollowSubscriber{name: fmt.Sprint("subscriber/", i), region: i % regions, fanOut: distribution.DefaultFanOut,
 			scopes: distribution.SomeScopes(commonScope, groupScope(i%t.content.shape.groups))}
 		for _, d := range t.random.Perm(len(t.distributors))[:min(distributorsKnown, len(t.distributors))] {
 			s.candidates = append(s.candidates, t.distributors[d].name)
 		}
 		for range peersKnown {
-			peer := i%t.content.shape.groups + t.content.shape.groups*t.random.IntN((size+t.content.shape.groups-1)/t.content.shape.groups)
+			peer := i%t.content.shape.groups + t.content.shape.groups*t.random.IntN((plan.subscribers+t.content.shape.groups-1)/t.content.shape.groups)
 			s.candidates = append(s.candidates, fmt.Sprint("subscriber/", peer))
 		}
 		t.subscribers = append(t.subscribers, s)
