scale run roles: a voter, a distributor and a controller as processes of their own

Cause: processor time and memory by role were shares of one process's in docs/CAPACITY.md, as no role ran as a process of its own. Change: the measurement starts one of each as a real process, over loopback, with hollow voters and children around them, by the entries that are distributed in all; digests of all children are compared at the end. Comparing and waiting stand with hollowSubscriber, for both rigs.

--- a/cmd/wheelrill/scale_lists_test.go
+++ b/cmd/wheelrill/scale_lists_test.go
@@ -60,3 +60,27 @@
 		}
 	}
 }
+
+// TestScaleRoles has a voter, a distributor and a controller that are processes of their own hand changes down within the
+// budgets, and every child have what it should.
+func TestScaleRoles(t *testing.T) {
+	r := measured(t, "roles", "--sizes", "570", "--for", "20s")
+	for _, text := range r.Samples[0].Broken {
+		t.Error(text)
+	}
+	for _, role := range []string{"voter", "distributor", "controller"} {
+		for _, figure := range []string{"_bytes_per_s", "_processor", "_memory"} {
+			if value := figures(t, r, role+figure)[0]; value <= 0 {
+				t.Errorf("%s%s is %v", role, figure, value)
+			}
+		}
+	}
+	for _, b := range r.Breaches() {
+		if b.Metric.Unit != "% of a core" { // the race detector takes most of that
+			t.Error(b)
+		}
+	}
+	if entries, most := figures(t, r, "controller_entries")[0], figures(t, r, "most")[0]; entries != 25 || most <= 0 {
+		t.Errorf("a controller has %v entries, the last change was in force after %v s", entries, most)
+	}
+}
--- a/scale/listed.go
+++ b/scale/listed.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -41,8 +40,15 @@
 	reading sync.WaitGroup // of its log
 
 	mutex sync.Mutex
-	ready time.Time // when it logged that it is, or 0
-	known string    // backends that it knew then
+	ready time.Time          // when it logged that it is, or 0
+	known string             // backends that it knew then
+	last  map[string]logLine // the last line of each event
+}
+
+// logLine is a line of a controller's log.
+type logLine struct {
+	text string
+	at   time.Time // when it was read
 }
 
 // newListedControllers prepares controllers, each with a file of its own.
@@ -51,24 +57,31 @@
 	if err != nil {
 		return nil, err
 	}
-	classes := []standin.Class{{Name: "lookup", Target: 400 * time.Millisecond, Deadline: 1500 * time.Millisecond, Value: 1}}
-	settings := (&rehearse.Takeover{Relays: recordRelays}).Settings(classes)
 	var all []*listedController
 	for i := range count {
-		name := memberName(i)
-		path, err := process.WriteJSON(folder, name+".json", map[string]any{"name": name, "listen": listen[i],
-			"discovery": discovery, "seed": fmt.Sprintf("%x", o.Seed+uint64(i)+1),
-			"limits":   map[string]any{"cores": memberCores, "memory_mb": mostMegabytes, "sockets": memberSockets},
-			"settings": settings})
+		c, err := newListedController(memberName(i), listen[i], discovery, folder, mostMegabytes, o.Seed+uint64(i)+1, o)
 		if err != nil {
 			return nil, err
 		}
-		all = append(all, &listedController{process: &process.Instance{Name: name, Program: o.Program, Listen: listen[i],
-			Env: []string{"LB_CONFIG=" + path}}})
+		all = append(all, c)
 	}
 	return all, nil
 }
 
+// newListedController prepares one, with a file of its own.
+func newListedController(name, listen, discovery, folder string, megabytes int, seed uint64, o Options) (*listedController, error) {
+	classes := []standin.Class{{Name: "lookup", Target: 400 * time.Millisecond, Deadline: 1500 * time.Millisecond, Value: 1}}
+	path, err := process.WriteJSON(folder, name+".json", map[string]any{"name": name, "listen": listen,
+		"discovery": discovery, "seed": fmt.Sprintf("%x", seed),
+		"limits":   map[string]any{"cores": memberCores, "memory_mb": megabytes, "sockets": memberSockets},
+		"settings": (&rehearse.Takeover{Relays: recordRelays}).Settings(classes)})
+	if err != nil {
+		return nil, err
+	}
+	return &listedController{process: &process.Instance{Name: name, Program: o.Program, Listen: listen,
+		Env: []string{"LB_CONFIG=" + path}}}, nil
+}
+
 // start begins the process, and reads its log until it ends.
 func (c *listedController) start(folder string) error {
 	log, err := os.Create(filepath.Join(folder, c.process.Name+".log"))
@@ -80,7 +93,7 @@
 		log.Close()
 		return err
 	}
-	c.process.Log, c.began, c.ready, c.known = to, time.Now(), time.Time{}, "" // of this life
+	c.process.Log, c.began, c.ready, c.known, c.last = to, time.Now(), time.Time{}, "", map[string]logLine{} // of this life
 	err = c.process.Start()
 	to.Close() // the process has its own
 	if err != nil {
@@ -99,14 +112,23 @@
 	return nil
 }
 
-// read notes when the controller says that it is ready.
+// read notes when the controller says that it is ready, and what it says of the rest.
 func (c *listedController) read(line string) {
-	if !strings.Contains(line, " event=ready ") {
-		return
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	event := field(line, "event")
+	c.last[event] = logLine{line, time.Now()}
+	if event == "ready" {
+		c.ready, c.known = time.Now(), field(line, "backends")
 	}
+}
+
+// said gives the last line of an event, if there was one.
+func (c *listedController) said(event string) (logLine, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.ready, c.known = time.Now(), field(line, "backends")
+	line, ok := c.last[event]
+	return line, ok
 }
 
 // readyAt is when it was ready; 0 while it is not.
--- a/scale/recoverytree.go
+++ b/scale/recoverytree.go
@@ -160,7 +160,7 @@
 	for _, node := range behind {
 		after += float64(node.received())
 	}
-	each(behind, func(node *hollowSubscriber) { t.check(node, t.content.last()) })
+	each(behind, func(node *hollowSubscriber) { node.check(t.content, t.content.last()) })
 	s.Set("ready", ready.Seconds())
 	s.Set("bytes", (after-before)/float64(len(behind)))
 	s.Set("snapshots", float64(t.needless()))
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -79,6 +79,7 @@
 		recoveryTree{recoverySubscribers},
 		recoveryDelta{recoverySubscribers},
 		addedTime{},
+		roles{},
 		distributed{},
 		distributed{whole: true},
 		distributedFaults{},
--- a/scale/subscriber.go
+++ b/scale/subscriber.go
@@ -27,7 +27,8 @@
 	scopes     distribution.Scopes
 	candidates []string
 	fanOut     int
-	network    *network
+	network    *network // nil where it is reached by nobody, and dials as told
+	dial       func(ctx context.Context, peer string) (net.Conn, error)
 	inForce    *inForce
 
 	mutex     sync.Mutex
@@ -55,23 +56,35 @@
 	}
 	carrier := subscribe.New(subscribe.Config{
 		Node:  distribution.Config{Name: s.name, Scopes: s.scopes, Candidates: s.candidates, Limits: limits},
-		Dial:  func(ctx context.Context, peer string) (net.Conn, error) { return s.network.dial(ctx, s.region, peer) },
+		Dial:  s.dials,
 		Apply: s.apply})
 	ended := make(chan struct{})
 	s.mutex.Lock()
 	s.carrier, s.stop, s.ended = carrier, stop, ended
 	s.seen, s.reachable = 0, time.Now()
 	s.mutex.Unlock()
-	s.network.listen(s.name, s.region, func(conn net.Conn) { carrier.Accept(conn, nil) })
+	if s.network != nil {
+		s.network.listen(s.name, s.region, func(conn net.Conn) { carrier.Accept(conn, nil) })
+	}
 	go func() {
 		defer close(ended)
 		carrier.Run(ctx)
 	}()
 }
 
+// dials connects to a possible parent.
+func (s *hollowSubscriber) dials(ctx context.Context, peer string) (net.Conn, error) {
+	if s.network == nil {
+		return s.dial(ctx, peer)
+	}
+	return s.network.dial(ctx, s.region, peer)
+}
+
 // kill ends a life as the end of a process would: all connections are closed, and nothing is kept.
 func (s *hollowSubscriber) kill() {
-	s.network.leave(s.name)
+	if s.network != nil {
+		s.network.leave(s.name)
+	}
 	s.mutex.Lock()
 	stop, ended, carrier := s.stop, s.ended, s.carrier
 	s.stop = nil
@@ -137,3 +150,48 @@
 	}
 	return carrier.Status()
 }
+
+// check compares the node with the content: at the revision given, or at its own where that is 0.
+func (s *hollowSubscriber) check(content *content, at uint64) {
+	s.mutex.Lock()
+	carrier, up, seen := s.carrier, s.stop != nil, s.seen
+	s.mutex.Unlock()
+	if !up {
+		return
+	}
+	state, ok := carrier.State()
+	if !ok || at == 0 && seen == 0 {
+		return // it has just started, and says so to those who ask
+	}
+	if at > 0 {
+		state.Mark.Revision = at
+	}
+	if text := content.differs(state, s.scopes); text != "" {
+		s.inForce.breaks("%s: %s", s.name, text)
+	}
+}
+
+// lacks tells whether the node runs, and acts by less than the newest revisions of its scopes; last is that of all of them.
+func (s *hollowSubscriber) lacks(newest map[string]uint64, last uint64) bool {
+	want := last
+	if !s.scopes.All {
+		want = 0
+		for _, scope := range s.scopes.Names {
+			want = max(want, newest[scope])
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.stop != nil && s.seen < want
+}
+
+// behind counts the nodes that act by less than what is in their scopes up to a revision.
+func behind(nodes []*hollowSubscriber, content *content, revision uint64) (n int) {
+	newest := content.newest(revision)
+	for _, s := range nodes {
+		if s.lacks(newest, revision) {
+			n++
+		}
+	}
+	return n
+}
--- a/scale/tree.go
+++ b/scale/tree.go
@@ -260,27 +260,7 @@
 // checkSome compares subscribers that are drawn with the content at the revision that each of them is at.
 func (t *tree) checkSome(random *rand.Rand) {
 	for range checkedAtOnce {
-		t.check(t.subscribers[random.IntN(len(t.subscribers))], 0)
-	}
-}
-
-// check compares a node with the content: at the revision given, or at its own where that is 0.
-func (t *tree) check(s *hollowSubscriber, at uint64) {
-	s.mutex.Lock()
-	carrier, up, seen := s.carrier, s.stop != nil, s.seen
-	s.mutex.Unlock()
-	if !up {
-		return
-	}
-	state, ok := carrier.State()
-	if !ok || at == 0 && seen == 0 {
-		return // it has just started, and says so to those who ask
-	}
-	if at > 0 {
-		state.Mark.Revision = at
-	}
-	if text := t.content.differs(state, s.scopes); text != "" {
-		t.inForce.breaks("%s: %s", s.name, text)
+		t.subscribers[random.IntN(len(t.subscribers))].check(t.content, 0)
 	}
 }
 
@@ -288,31 +268,11 @@
 // its end.
 func (t *tree) settle(ctx context.Context) error {
 	last := t.content.last()
-	waitFor(ctx, mostInForce*time.Second, func() bool { return t.behind(last) == 0 })
-	each(t.nodes(), func(s *hollowSubscriber) { t.check(s, last) })
+	waitFor(ctx, mostInForce*time.Second, func() bool { return behind(t.nodes(), t.content, last) == 0 })
+	each(t.nodes(), func(s *hollowSubscriber) { s.check(t.content, last) })
 	return ctx.Err()
 }
 
-// behind counts the nodes that act by less than what is in their scopes up to a revision.
-func (t *tree) behind(revision uint64) (n int) {
-	newest := t.content.newest(revision)
-	for _, s := range t.nodes() {
-		s.mutex.Lock()
-		want := newest[commonScope]
-		if s.scopes.All {
-			want = revision
-		}
-		for _, scope := range s.scopes.Names {
-			want = max(want, newest[scope])
-		}
-		if s.stop != nil && s.seen < want {
-			n++
-		}
-		s.mutex.Unlock()
-	}
-	return n
-}
-
 // parentsLost counts how often nodes that run have lost or left a parent.
 func (t *tree) parentsLost() int64 {
 	var lost atomic.Int64
