decide: a distributed limit of a class is kept; what is left of a grace is settled once a beat

Cause: entries of limit arrived and nothing acted by them, as decisions had no way in. Change: Quota takes the requests of a class that the whole fleet may be sent; a controller keeps the part that its proxies are of all, through the levels that overload has as well, and nothing is repeated for it. A limit named for a class acts, one of a tenant is carried alone. publish settles the grace that is left once for all that ask for it. Without a quota levels are as before. Tests: levels by manner, share of the fleet and size, beside a limit from a queue; entries, their end, and what the proxies are told.

--- a/controller/distribution.go
+++ b/controller/distribution.go
@@ -246,35 +246,44 @@
 	return entries, whole
 }
 
-// configured has the decisions act by what has arrived, through the list of backends alone.
+// configured has the decisions act by what has arrived: through the list of backends, and the quotas of classes.
 func (m *module) configured(entries []distribution.Entry, whole bool) {
-	touched := map[string]bool{}
+	backends, classes := map[string]bool{}, map[string]bool{}
+	touch := func(s subject) (known bool) {
+		_, ours := m.classes[s.class]
+		if s.backend != "" {
+			backends[s.backend] = true
+		} else if ours {
+			classes[s.class] = true
+		}
+		return s.backend != "" || ours
+	}
 	if whole {
-		for _, id := range m.overrides.reset() {
-			touched[id] = true
+		for _, s := range m.overrides.reset() {
+			touch(s)
 		}
 	}
 	var last distribution.Entry
 	for _, e := range entries {
-		id, ok := m.overrides.put(e)
+		changed, ok := m.overrides.put(e)
 		if !ok {
 			m.log.seldom("distributed", "distributed_unusable", "scope", e.Scope, "name", e.Name, "revision", e.Revision)
 		}
-		if id != "" {
-			touched[id], last = true, e // entries come in the order of their revisions
+		if touch(changed) {
+			last = e // entries come in the order of their revisions
 		}
 	}
-	if len(touched) == 0 {
+	if len(backends)+len(classes) == 0 {
 		return
 	}
 	late := 0.0 // since the newest of them was accepted at the voter, by both wall clocks
 	if last.AcceptedAt > 0 {
 		late = float64(m.now-last.AcceptedAt) / second
 	}
-	m.log.say("distributed", "revision", last.Revision, "whole", whole, "backends", len(touched),
-		"drained", len(m.overrides.drains), "weighted", len(m.overrides.weights), "late_s", figured(late, 3))
+	m.log.say("distributed", "revision", last.Revision, "whole", whole, "backends", len(backends),
+		"drained", len(m.overrides.drains), "weighted", len(m.overrides.weights), "late_s", figured(late, 3), "classes", len(classes))
 	var relisted []decide.Entry
-	for _, id := range slices.Sorted(maps.Keys(touched)) {
+	for _, id := range slices.Sorted(maps.Keys(backends)) {
 		if backend, known := m.backends.index[id]; known {
 			relisted = m.overrides.merged(relisted, id, m.overrides.listed[backend])
 		}
@@ -282,6 +291,9 @@
 	if len(relisted) > 0 {
 		m.control.Listed(false, relisted)
 	}
+	for _, class := range slices.Sorted(maps.Keys(classes)) {
+		m.control.Quota(m.classes[class], m.overrides.limitOf(class))
+	}
 }
 
 // configure has a voter propose what the file wants to be distributed; the newest replaces what waits.
--- a/controller/overrides.go
+++ b/controller/overrides.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"strconv"
 	"strings"
 
@@ -13,15 +14,16 @@
 const (
 	kindDrain   = "drain"   // of a backend
 	kindWeight  = "weight"  // of a backend
-	kindLimit   = "limit"   // of a tenant
+	kindLimit   = "limit"   // of a class, requests a second of the whole fleet; of a tenant it is carried alone
 	kindRoute   = "route"   // by its name
 	kindService = "service" // by its name
 )
 
 const kindSeparator = "/"
 
-// overrides are what distributed entries say of backends, over discovery's word. They belong to the module.
+// overrides are what distributed entries say of backends, over discovery's word, and of classes. They belong to the module.
 type overrides struct {
+	limits  map[string]map[distribution.Key]float64 // by class, requests a second
 	drains  map[string]map[distribution.Key]int64   // by backend, when the entries that drain it were accepted, Unix µs
 	weights map[string]map[distribution.Key]written // by backend
 	listed  []decide.Entry                          // by index, as discovery has it; an index that is given anew is listed anew
@@ -34,24 +36,32 @@
 }
 
 func newOverrides() *overrides {
-	return &overrides{drains: map[string]map[distribution.Key]int64{}, weights: map[string]map[distribution.Key]written{}}
+	return &overrides{drains: map[string]map[distribution.Key]int64{}, weights: map[string]map[distribution.Key]written{},
+		limits: map[string]map[distribution.Key]float64{}}
 }
 
-// put takes an entry in; it gives the backend whose entry in the list it may change, if there is one. False: the entry makes
-// no sense, and counts as if it were not there.
-func (o *overrides) put(e distribution.Entry) (backend string, ok bool) {
+// subject is what an entry is about: a backend, or a class, or for others neither.
+type subject struct{ backend, class string }
+
+// put takes an entry in; it gives what the decisions have to hear of anew. False: the entry makes no sense, and counts as if it
+// were not there.
+func (o *overrides) put(e distribution.Entry) (changed subject, ok bool) {
 	kind, about, _ := strings.Cut(e.Name, kindSeparator)
 	switch kind {
 	case kindDrain:
 		ok = e.Deleted || string(e.Value) == drained
 		set(o.drains, about, e.Key(), e.AcceptedAt, ok && !e.Deleted)
-		return about, ok
+		return subject{backend: about}, ok
 	case kindWeight:
 		weight, usable := usableWeight(string(e.Value))
 		set(o.weights, about, e.Key(), written{weight, e.Revision}, usable && !e.Deleted)
-		return about, usable || e.Deleted
+		return subject{backend: about}, usable || e.Deleted
+	case kindLimit:
+		limit, usable := usableLimit(string(e.Value))
+		set(o.limits, about, e.Key(), limit, usable && !e.Deleted)
+		return subject{class: about}, usable || e.Deleted
 	}
-	return "", true
+	return subject{}, true
 }
 
 // set keeps what a key says of a backend, or forgets it.
@@ -79,16 +89,38 @@
 	return weight, err == nil && weight > 0 && weight <= mostWeight
 }
 
-// reset forgets all distributed entries, and gives the backends that they were about.
-func (o *overrides) reset() (backends []string) {
+// leastLimit stands for a limit of 0, as 0 is none at all for the decisions: they let little through then, to hear of it.
+const leastLimit = 1e-9
+
+func usableLimit(text string) (float64, bool) {
+	limit, err := strconv.ParseFloat(text, 64)
+	return max(limit, leastLimit), err == nil && limit >= 0 && !math.IsInf(limit, 1)
+}
+
+// limitOf is the least limit that stands for a class; 0 where there is none.
+func (o *overrides) limitOf(class string) (least float64) {
+	for _, limit := range o.limits[class] {
+		if least == 0 || limit < least {
+			least = limit
+		}
+	}
+	return least
+}
+
+// reset forgets all distributed entries, and gives what they were about.
+func (o *overrides) reset() (changed []subject) {
 	for backend := range o.drains {
-		backends = append(backends, backend)
+		changed = append(changed, subject{backend: backend})
 	}
 	for backend := range o.weights {
-		backends = append(backends, backend)
+		changed = append(changed, subject{backend: backend})
+	}
+	for class := range o.limits {
+		changed = append(changed, subject{class: class})
 	}
+	o.limits = map[string]map[distribution.Key]float64{}
 	o.drains, o.weights = map[string]map[distribution.Key]int64{}, map[string]map[distribution.Key]written{}
-	return backends
+	return changed
 }
 
 // weightOf is the weight that stands for a backend: of several scopes' the one that was set last.
--- a/controller/overrides_test.go
+++ b/controller/overrides_test.go
@@ -82,11 +82,29 @@
 	}
 	puts(said("limit/t1", "5", 6), true)
 	puts(said("drain/s-3", "true", 7), true)
-	if backends := o.reset(); !slices.Equal(backends, []string{"s-3"}) {
-		t.Errorf("reset %v", backends)
+	for _, nonsense := range []string{"-1", "NaN", "Inf", "x", ""} {
+		puts(said("limit/read it", nonsense, 8), false)
+	}
+	if limit := o.limitOf("read it"); limit != 0 {
+		t.Errorf("a limit of %v", limit)
+	}
+	puts(said("limit/read it", "7", 9), true)
+	lower := said("limit/read it", "0", 10)
+	lower.Scope = "orders"
+	if puts(lower, true); o.limitOf("read it") != leastLimit {
+		t.Errorf("of 7 and 0 the limit is %v", o.limitOf("read it"))
+	}
+	lower.Deleted = true
+	if puts(lower, true); o.limitOf("read it") != 7 {
+		t.Errorf("the limit that is left is %v", o.limitOf("read it"))
+	}
+	changed := o.reset()
+	slices.SortFunc(changed, func(a, b subject) int { return strings.Compare(a.backend+a.class, b.backend+b.class) })
+	if want := []subject{{class: "read it"}, {backend: "s-3"}, {class: "t1"}}; !slices.Equal(changed, want) {
+		t.Errorf("reset %v", changed)
 	}
 	wants(ready, fmt.Sprint(decide.Ready, 2))
-	if len(o.drains)+len(o.weights) != 0 {
+	if len(o.drains)+len(o.weights)+len(o.limits) != 0 {
 		t.Errorf("left over: %+v", o)
 	}
 }
@@ -172,6 +190,31 @@
 			t.Errorf("picks %v", got)
 		}
 	})
+	t.Run("a limit of a class is told to the proxies, and its end", func(t *testing.T) {
+		m, h, p := begins(t)
+		index := m.classes["read it"]
+		comes := func() {
+			for range 8 {
+				m.control.Came(0, index, 80, second)
+				later(m, second, func() {})
+				h.hears(t, p)
+				m.turn(func() { m.applied(p, h.tickets[len(h.tickets)-1]) })
+			}
+		}
+		comes()
+		m.turn(func() {
+			m.configured([]distribution.Entry{said("limit/read it", "8", 1), said("limit/tenant-17", "1", 1)}, false)
+		})
+		comes()
+		if len(h.levels[0]) == 0 || h.levels[0][0] <= 0 || h.levels[0][0] > 8.1 {
+			t.Errorf("levels %v", h.levels)
+		}
+		m.turn(func() { m.configured(nil, true) })
+		comes()
+		if len(h.levels[0]) > 0 && h.levels[0][0] <= 80 {
+			t.Errorf("levels once it is over: %v", h.levels)
+		}
+	})
 	t.Run("a weight stands over the listed one", func(t *testing.T) {
 		m, h, p := begins(t)
 		m.turn(func() { m.configured([]distribution.Entry{said("weight/s-0", "4", 1)}, false) })
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -81,6 +81,7 @@
 
 	tries                               int     // heard of since the last look
 	every                               float64 // microseconds that a report covers of late: news is as old
+	grace                               int64   // what is left of it for the drain that was heard of last
 	listedOnce, fallback, pressed, warm bool    // warm: some backend was listed that was not cold
 }
 
@@ -89,7 +90,7 @@
 	sight Sight, admit Admission) *Controller {
 	c := &Controller{host: host, seed: seed, limits: limits, sight: sight, classes: classes,
 		lookedAt: host.Now(), channel: ledger{Channel: channel}, levels: newAdmission(admit, classes),
-		owners: newOwnership(partition, classes), parts: 1}
+		owners: newOwnership(partition, classes), parts: 1, grace: limits.Grace}
 	for i, class := range classes {
 		c.own |= uint16(count(class.OwnZone)) << i
 	}
@@ -240,8 +241,8 @@
 	return b.listed && b.Condition == Ready
 }
 
-// grace is what is left of it for the drain that was heard of last after its order, until it is told.
-func (c *Controller) grace() int64 {
+// graceLeft is what is left of it for the drain that was heard of last after its order, until it is told.
+func (c *Controller) graceLeft() int64 {
 	late := int64(0)
 	for _, b := range c.backends {
 		if b.late > late && c.mustLeave(b) && (b.line > 0 || !b.out) {
@@ -397,6 +398,7 @@
 		return want < b.line && (c.cold(b, now) || c.mustLeave(b)) || want > 0 && bare
 	}
 	header, strange, joined, need := c.channel.header(), 0., 0., 0.
+	c.grace = c.graceLeft()
 	c.owing(now, map[int]float64{})
 	bound, kept := make([]float64, c.parts), make([]float64, c.parts)
 	for _, p := range c.proxies {
@@ -432,7 +434,7 @@
 	if c.levels.urgent { // all let in meanwhile adds to a queue
 		need += (header + 1) * joined
 	}
-	goes := (ordinary || need > 0) && c.channel.open(c.proxies, now, c.laidAt, c.grace(), need)
+	goes := (ordinary || need > 0) && c.channel.open(c.proxies, now, c.laidAt, c.grace, need)
 	c.pressed = !goes && (ordinary && due && c.channel.lines > c.channel.room()/8 || // binds wait
 		need > 0 && c.channel.lines+need > c.channel.room())
 	if goes {
@@ -587,7 +589,7 @@
 
 // binds tells whether those who wait are as well bound as told by messages of their own.
 func (c *Controller) binds(table, message float64, waiting int) bool {
-	return table <= 3*message && table*float64(waiting) <= inTime*c.channel.takes(c.grace())
+	return table <= 3*message && table*float64(waiting) <= inTime*c.channel.takes(c.grace)
 }
 
 // relevels is how many lines of levels a whole table takes along, as it makes a proxy forget them.
@@ -698,7 +700,8 @@
 }
 
 func newAdmission(how Admission, classes []Class) admission {
-	a := admission{how: how, laid: make([]float64, len(classes)), want: make([]float64, len(classes))}
+	a := admission{how: how, laid: make([]float64, len(classes)), want: make([]float64, len(classes)),
+		quota: make([]float64, len(classes))}
 	for i, class := range classes {
 		a.came, a.trim = append(a.came, 0), append(a.trim, 1)
 		a.order = append(a.order, i)
@@ -878,17 +881,22 @@
 	return l != (Load{}) && (light || l.Busy >= 0 && l.Busy < idleAt)
 }
 
-// setLevels shares the limit out, value first; capping the busiest proxies, repeats count for nothing.
+// setLevels shares the limit out, value first; capping the busiest proxies, repeats count for nothing. A
+// quota of a class is that of the whole fleet: of it we have what our proxies are of all.
 func (c *Controller) setLevels() {
-	a := &c.levels
-	left := a.limit
+	a, joined := &c.levels, 0.
+	for _, p := range c.proxies {
+		joined += float64(count(p.joined))
+	}
+	left, ours := cmp.Or(a.limit, math.Inf(1)), max(joined, 1)/max(joined, float64(c.channel.Proxies), 1)
 	for _, class := range a.order {
 		rates, total := c.demand(class)
-		part := min(total, max(left/a.units[class], leastLet*total))
+		most := min(left/a.units[class], cmp.Or(a.quota[class], math.Inf(1))*ours)
+		part := min(total, max(most, leastLet*total))
 		left -= part * a.units[class]
-		if a.want[class] = 0; a.limit > 0 && part < total && a.how == AdmitRate {
+		if a.want[class] = 0; part < total && a.how == AdmitRate {
 			a.want[class] = waterline(rates, part)
-		} else if a.limit > 0 && part < total {
+		} else if part < total && a.how == AdmitShare {
 			a.want[class] = part / total
 		}
 	}
@@ -1043,7 +1051,7 @@
 		if to < 0 && s.held < 0 {
 			to = from
 		}
-		if s.held > 0 || to < 0 || !c.channel.open(c.proxies, now, c.laidAt, c.grace(), c.channel.Backlog/4) {
+		if s.held > 0 || to < 0 || !c.channel.open(c.proxies, now, c.laidAt, c.grace, c.channel.Backlog/4) {
 			continue
 		}
 		if s.owner = to; o.SingleOwner && (from >= 0 || s.held < 0) {
--- a/decide/levels_test.go
+++ b/decide/levels_test.go
@@ -245,6 +245,54 @@
 			}
 		}
 	})
+	t.Run("a quota of a class is kept by our part of the fleet, whatever the rest of the limit allows", func(t *testing.T) {
+		for name, story := range map[string]struct {
+			how   Admission
+			fleet int // proxies at all controllers, of which we have 3
+			quota float64
+			level float64 // of the class; 20 requests a second come to each proxy
+		}{
+			"all proxies are ours":     {AdmitRate, 0, 30, 10},
+			"half of them are":         {AdmitRate, 6, 30, 5},
+			"as a share":               {AdmitShare, 6, 30, 0.25},
+			"more than comes":          {AdmitRate, 3, 90, 0},
+			"hardly anything":          {AdmitRate, 3, 0.01, leastLet * 20},
+			"proxies that heed no one": {AdmitNone, 6, 30, 0},
+		} {
+			x := usual()
+			x.admit, x.channel.Proxies = story.how, story.fleet
+			s := begin(t, x, 8, 3)
+			s.plays(6, func() { s.fine() })
+			s.c.Quota(0, story.quota)
+			s.plays(6, func() { s.fine() })
+			if got := s.levels["65535 1"]; got < 0.97*story.level || got > 1.03*story.level {
+				t.Errorf("%s: level %.2f, not %.2f", name, got, story.level)
+			}
+			if other, laid := s.levels["65535 2"]; laid {
+				t.Errorf("%s: the other class has a level of %.2f", name, other)
+			}
+			if story.level > 0 && s.tries["65535 1"] != TryOnce {
+				t.Errorf("%s: tries %v", name, s.tries["65535 1"])
+			}
+			s.c.Quota(0, 0)
+			s.plays(6, func() { s.fine() })
+			if got, laid := s.levels["65535 1"]; laid && got != unlimited {
+				t.Errorf("%s: level %.2f once it is over", name, got)
+			}
+		}
+	})
+	t.Run("a quota takes nothing away from a limit that a queue has laid", func(t *testing.T) {
+		s := begin(t, usual(), 16, 3)
+		s.plays(2, jam(s))
+		limit, level := s.c.levels.limit, s.c.levels.want[0]
+		s.c.Quota(0, 1000)
+		if s.c.levels.limit != limit || s.c.levels.want[0] != level {
+			t.Errorf("limit %.1f, level %.2f; %.1f and %.2f before", s.c.levels.limit, s.c.levels.want[0], limit, level)
+		}
+		if s.c.Quota(0, 6); s.c.levels.want[0] > 2.01 || s.c.levels.want[0] <= 0 || level < 3 {
+			t.Errorf("level %.2f with a quota of 2 for each proxy, %.2f before", s.c.levels.want[0], level)
+		}
+	})
 	t.Run("where a queue stood once, a drain takes its part of the limit at once", func(t *testing.T) {
 		s := begin(t, usual(), 16, 3)
 		s.plays(2, jam(s))
--- a/decide/list_test.go
+++ b/decide/list_test.go
@@ -73,8 +73,8 @@
 				t.Errorf("ordered %d us ago: waits %v", late, waiting)
 			}
 			s.plays(3, nil)
-			if s.c.grace() != x.limits.Grace {
-				t.Errorf("%d us are left of the grace once all is told", s.c.grace())
+			if s.c.grace != x.limits.Grace {
+				t.Errorf("%d us are left of the grace once all is told", s.c.grace)
 			}
 			s.c.Listed(false, []Entry{{Backend: 2, Condition: Ready, Weight: 2}})
 			s.plays(12, func() { s.fine() })
--- a/decide/state.go
+++ b/decide/state.go
@@ -109,6 +109,12 @@
 	a.proven, a.able = cmp.Or(a.proven, max(proven, 0)), cmp.Or(a.able, max(able, 0))
 }
 
+// Quota takes how many requests of a class a second the whole fleet may be sent, at all controllers; 0 is any number.
+func (c *Controller) Quota(class int, perS float64) {
+	c.levels.quota[class] = perS
+	c.setLevels()
+}
+
 // Spent counts messages to a proxy that others have sent within the span, or will have. It counts for
 // one that is joined, and for one that joins next.
 func (c *Controller) Spent(id, messages int) {
@@ -216,7 +222,6 @@
 func (c *Controller) owing(now int64, sizes map[int]float64) {
 	l := &c.channel
 	l.owed, l.due = 0, math.Inf(1)
-	grace := c.grace()
 	for _, i := range c.waiting {
 		p := c.proxies[i]
 		if !p.joined || p.bound {
@@ -224,7 +229,7 @@
 		}
 		if _, cost, bare := c.whole(p, sizes); !bare {
 			l.owed += cost
-			l.due = min(l.due, inTime*l.takes(grace)-l.takes(l.LongestWay+now-p.joinedAt))
+			l.due = min(l.due, inTime*l.takes(c.grace)-l.takes(l.LongestWay+now-p.joinedAt))
 		}
 	}
 }
@@ -323,6 +328,7 @@
 	told       bool    // a level ever was
 	heat       float64 // at the last look
 	laid, want []float64
+	quota      []float64 // requests a second of each class that the whole fleet may be sent; 0 for any number
 	came       []float64 // requests counted since the last look
 	trim       []float64 // what was counted in all, over the sum of the proxies' rates
 
