--- a/scale/recoverysnapshot.go
+++ b/scale/recoverysnapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -101,8 +100,7 @@
 		return err
 	}
 	name := voterName(0)
-	voter := subscribe.New(subscribe.Config{Node: distribution.Config{Name: name, Voter: true, Limits: distribution.DefaultLimits()},
-		Dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("a voter dials nobody") }})
+	voter := voterCarrier(name, distribution.DefaultLimits())
 	network.listen(name, 0, func(conn net.Conn) { voter.Accept(conn, nil) })
 	running.Go(func() { voter.Run(ctx) })
 	voter.Accepted(change)
--- /dev/null
+++ b/scale/rolefleet.go
@@ -0,0 +1,226 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"wheelrill/distribution"
+	"wheelrill/internal/process"
+	"wheelrill/replica"
+	"wheelrill/standin"
+)
+
+// roleFleet is an installation of which three nodes are processes.
+type roleFleet struct {
+	options   Options
+	folder    string
+	discovery *standin.Discovery
+	content   *content
+	inForce   *inForce
+	addresses []string // of the voters, the real one last
+	listen    map[string]string
+	processes map[string]*listedController
+	hollow    []*hollowMember
+	dialler   *replica.Subscriber
+	children  []*hollowSubscriber
+	running   sync.WaitGroup
+	stop      context.CancelFunc
+	ready     map[string]time.Duration
+}
+
+// newRoleFleet prepares one; it starts nothing but discovery.
+func newRoleFleet(size int, folder string, o Options) (r *roleFleet, err error) {
+	shape := contentShape{groups: groupsToCome, ofEach: max(1, size/groupsToCome)}
+	r = &roleFleet{options: o, folder: folder, content: newContent(shape, o.Seed), listen: map[string]string{},
+		processes: map[string]*listedController{}, ready: map[string]time.Duration{}, stop: func() {}}
+	r.inForce = newInForce(r.content)
+	if r.dialler, err = replica.NewSubscriber(replica.Credentials{}); err != nil {
+		return nil, err
+	}
+	free, err := process.FreeAddresses(o.Voters + 2 + 3)
+	if err != nil {
+		return nil, err
+	}
+	r.addresses = free[:o.Voters]
+	r.listen[distributorRole], r.listen[controllerRole] = free[o.Voters], free[o.Voters+1]
+	if r.discovery, _, err = newDiscovery(backendsServed); err != nil {
+		return nil, err
+	}
+	for i, role := range []string{voterRole, distributorRole, controllerRole} {
+		megabytes := setAsideMegabytes
+		if role == controllerRole {
+			megabytes = mostMegabytes
+		}
+		c, err := newListedController(role, free[o.Voters+2+i], r.discovery.Address(), folder, megabytes, o.Seed+uint64(i)+1, o)
+		if err != nil {
+			r.close()
+			return nil, err
+		}
+		path := filepath.Join(folder, role+".yaml")
+		if err := os.WriteFile(path, []byte(r.optionsOf(role)), 0o600); err != nil {
+			r.close()
+			return nil, err
+		}
+		c.process.Args = []string{"serve", "--options", path}
+		r.processes[role] = c
+	}
+	return r, nil
+}
+
+// voterNames are the names of the voters; the real one is the last.
+func (r *roleFleet) voterNames() (names []string) {
+	for i := range r.addresses {
+		names = append(names, voterName(i))
+	}
+	return names
+}
+
+// members are the addresses of the voters by name.
+func (r *roleFleet) members() map[string]string {
+	at := map[string]string{}
+	for i, name := range r.voterNames() {
+		at[name] = r.addresses[i]
+	}
+	return at
+}
+
+// optionsOf is the options file of a process.
+func (r *roleFleet) optionsOf(role string) string {
+	var members strings.Builder
+	for i, name := range r.voterNames() {
+		fmt.Fprintf(&members, "    %s: %s\n", name, r.addresses[i])
+	}
+	pace := fmt.Sprintf("  snapshot_bytes_per_s: %d\n", setAsidePace)
+	switch role {
+	case voterRole:
+		return fmt.Sprintf("sharing:\n  plain: true\n  name: %s\n  lease: %s\n  folder: %s\n  members:\n%sdistribution:\n  role: voter\n  fan_out: %d\n%s",
+			voterName(len(r.addresses)-1), voterLease, filepath.Join(r.folder, "voter"), members.String(), mostFanOut, pace)
+	case distributorRole:
+		return fmt.Sprintf("distribution:\n  role: subscriber\n  name: %s\n  plain: true\n  scopes: [\"*\"]\n  listen: %s\n  fan_out: %d\n%s  parents:\n%s",
+			role, r.listen[role], mostFanOut, pace, members.String())
+	}
+	return fmt.Sprintf("distribution:\n  role: subscriber\n  name: %s\n  plain: true\n  scopes: [%s, %s]\n  listen: %s\n  parents:\n    %s: %s\n",
+		role, commonScope, groupScope(0), r.listen[role], distributorRole, r.listen[distributorRole])
+}
+
+// start starts the voters with all content, then the distributor, the controller and the children of both.
+func (r *roleFleet) start(ctx context.Context) error {
+	if err := r.startVoters(ctx); err != nil {
+		return err
+	}
+	for _, entries := range r.content.initial() {
+		if err := r.propose(ctx, entries); err != nil {
+			return err
+		}
+	}
+	for _, role := range []string{distributorRole, controllerRole} {
+		if err := r.startRole(ctx, role); err != nil {
+			return err
+		}
+	}
+	for i := range distributorChildren {
+		r.addChild(distributorRole, i, 1+i%(groupsToCome-1))
+	}
+	for i := range distribution.DefaultFanOut {
+		r.addChild(controllerRole, i, 0)
+	}
+	if !waitFor(ctx, rolesReadyWithin, func() bool { return waiting(r.children) == 0 }) {
+		return fmt.Errorf("%d children have no configuration within %s: %s", waiting(r.children), rolesReadyWithin, whoWaits(r.children))
+	}
+	return nil
+}
+
+// startVoters starts the hollow voters and the real one, and waits until all are on the record.
+func (r *roleFleet) startVoters(ctx context.Context) error {
+	ctx, r.stop = context.WithCancel(ctx)
+	real := r.processes[voterRole]
+	if err := real.start(r.folder); err != nil {
+		return err
+	}
+	names := r.voterNames()
+	for i, name := range names[:len(names)-1] {
+		carrier := voterCarrier(replica.Peer{Name: name, Address: r.addresses[i]}.String(), setAsideLimits())
+		r.running.Go(func() { carrier.Run(ctx) })
+		member, err := startHollow(ctx, &r.running, replica.Config{Name: name, Members: r.members(), Folder: filepath.Join(r.folder, name),
+			Distribution: voterDistribution{carrier, r.content}}, voterLease)
+		if err != nil {
+			return err
+		}
+		r.hollow = append(r.hollow, member)
+	}
+	entered := func() bool {
+		for _, m := range r.hollow {
+			if !m.entered.Load() {
+				return false
+			}
+		}
+		line, ok := real.said("sharing")
+		return ok && field(line.text, "alone") == "false"
+	}
+	if !waitFor(ctx, startsWithin, entered) {
+		return fmt.Errorf("the voters have no record within %s", startsWithin)
+	}
+	return nil
+}
+
+// propose has entries accepted as one change.
+func (r *roleFleet) propose(ctx context.Context, entries []distribution.Entry) error {
+	for {
+		_, err := r.hollow[0].node.Change(ctx, distribution.Proposal{Entries: entries})
+		if err == nil || errors.Is(err, replica.ErrRefused) {
+			return err
+		}
+		if err := pauseFor(ctx, lookEvery); err != nil {
+			return err
+		}
+	}
+}
+
+// startRole starts a process that subscribes, and waits until it has its entries.
+func (r *roleFleet) startRole(ctx context.Context, role string) error {
+	c := r.processes[role]
+	if err := c.start(r.folder); err != nil {
+		return err
+	}
+	has := func() bool {
+		_, ok := c.said("snapshot_taken")
+		return ok || c.process.Gone()
+	}
+	if waitTight(ctx, rolesReadyWithin, has); c.process.Gone() {
+		return fmt.Errorf("the %s has ended", role)
+	}
+	line, ok := c.said("snapshot_taken")
+	if !ok {
+		return fmt.Errorf("the %s has no configuration within %s", role, rolesReadyWithin)
+	}
+	r.ready[role] = line.at.Sub(c.began)
+	return nil
+}
+
+// addChild starts a hollow subscriber below a process.
+func (r *roleFleet) addChild(below string, number, group int) {
+	s := &hollowSubscriber{name: fmt.Sprintf("%s/child%d", below, number), dial: r.dialler.Dial, inForce: r.inForce,
+		scopes:     distribution.SomeScopes(commonScope, groupScope(group)),
+		candidates: []string{replica.Peer{Name: below, Address: r.listen[below]}.String()}}
+	r.children = append(r.children, s)
+	s.start()
+}
+
+// close ends all.
+func (r *roleFleet) close() {
+	each(r.children, (*hollowSubscriber).kill)
+	for _, c := range r.processes {
+		c.end()
+	}
+	r.stop()
+	r.running.Wait()
+	if r.discovery != nil {
+		r.discovery.Close()
+	}
+}
--- a/scale/subscriber.go
+++ b/scale/subscriber.go
@@ -50,10 +50,10 @@
 func (s *hollowSubscriber) start() {
 	ctx, stop := context.WithCancel(context.Background())
 	limits := distribution.DefaultLimits()
-	limits.FanOut = s.fanOut
 	if s.role == roleDistributor {
-		limits.PaceBytes = setAsidePace
+		limits = setAsideLimits()
 	}
+	limits.FanOut = s.fanOut
 	carrier := subscribe.New(subscribe.Config{
 		Node:  distribution.Config{Name: s.name, Scopes: s.scopes, Candidates: s.candidates, Limits: limits},
 		Dial:  s.dials,
--- a/scale/voters.go
+++ b/scale/voters.go
@@ -114,13 +114,25 @@
 	}
 }
 
-// start begins a life of a voter, with the log and the votes that it had.
-func (v *voter) start() error {
+// setAsideLimits are those of a node on a machine set aside.
+func setAsideLimits() distribution.Limits {
 	limits := distribution.DefaultLimits()
-	limits.FanOut, limits.PaceBytes = v.fanOut, setAsidePace
-	carrier := subscribe.New(subscribe.Config{
-		Node: distribution.Config{Name: v.name, Voter: true, Limits: limits},
+	limits.FanOut, limits.PaceBytes = mostFanOut, setAsidePace
+	return limits
+}
+
+// voterCarrier hands out the configuration of a voter.
+func voterCarrier(name string, limits distribution.Limits) *subscribe.Carrier {
+	return subscribe.New(subscribe.Config{
+		Node: distribution.Config{Name: name, Voter: true, Limits: limits},
 		Dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("a voter dials nobody") }})
+}
+
+// start begins a life of a voter, with the log and the votes that it had.
+func (v *voter) start() error {
+	limits := setAsideLimits()
+	limits.FanOut = v.fanOut
+	carrier := voterCarrier(v.name, limits)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	v.ending.Go(func() {
