--- a/scale/rolefleet.go
+++ b/scale/rolefleet.go
@@ -127,7 +127,7 @@
 	for i := range distributorChildren {
 		r.addChild(distributorRole, i, 1+i%(groupsToCome-1))
 	}
-	for i := range distribution.DefaultFanOut {
+	for i := range controllerChildren {
 		r.addChild(controllerRole, i, 0)
 	}
 	if !waitFor(ctx, rolesReadyWithin, func() bool { return waiting(r.children) == 0 }) {
--- a/scale/roles.go
+++ b/scale/roles.go
@@ -7,8 +7,6 @@
 	"os"
 	"strconv"
 	"time"
-
-	"wheelrill/distribution"
 )
 
 // roles measures a voter, a distributor and a controller that passes on, each a real process of its own, by the entries that
@@ -25,6 +23,7 @@
 // Figures of the installation around the processes.
 const (
 	distributorChildren = mostFanOut - 1 // hollow ones; the controller is one more
+	controllerChildren  = 4              // a controller sends snapshots at a pace of its own, so that more take minutes
 	setAsideMegabytes   = 4096           // that a process on a machine set aside may take
 	rolesReadyWithin    = 4 * time.Minute
 	statsLineEvery      = 10 * time.Second // a controller logs what the distribution costs it
@@ -36,7 +35,7 @@
 	d := Description{Name: "roles", Size: "entries in all", Sizes: []int{5700, 50_000, 150_000, entriesOfAll}, Transport: "loopback",
 		Targets: []int{entriesOfAll},
 		About: fmt.Sprintf("A voter, a distributor with %d children and a controller with %d and %d backends, real processes, 4.2 changes a second",
-			mostFanOut, distribution.DefaultFanOut, backendsServed)}
+			mostFanOut, controllerChildren, backendsServed)}
 	for _, role := range []string{voterRole, distributorRole, controllerRole} {
 		d.Metrics = append(d.Metrics,
 			Metric{Name: role + "_bytes_per_s", Unit: "bytes/s", About: "in and out at the " + role, Most: mostBytesPerS},
@@ -54,7 +53,7 @@
 // Needs are those of the processes and of our own.
 func (roles) Needs(size int, o Options) Needs {
 	held := int64(o.Voters*copiesAtVoter+2) * int64(size) * entryMemory * collectedAt
-	children := int64(mostFanOut+distribution.DefaultFanOut) * (subscriberMemory + int64(size/groupsToCome)*entryMemory*collectedAt)
+	children := int64(mostFanOut+controllerChildren) * (subscriberMemory + int64(size/groupsToCome)*entryMemory*collectedAt)
 	needs := Needs{Memory: treeMemory + 3*memberMemory + held + children, Processes: 3,
 		Time: startsWithin + 2*rolesReadyWithin + o.For}
 	if o.For < 2*statsLineEvery {
