--- a/replica/pace.go
+++ b/replica/pace.go
@@ -12,19 +12,21 @@
 // Figures of the pace. A member that dies is replaced as leader within two heartbeat timeouts, about.
 const (
 	shortestHeartbeat = 400 * time.Millisecond // for a local network, and a lease of 1.5 s
-	leaseParts        = 15                     // of a lease, of which ...
-	heartbeatParts    = 4                      // ... so many are the heartbeat timeout: two elections fit into a lease
-	leaderLeaseParts  = 4                      // the leader's lease is all but one of these parts of the heartbeat timeout
-	commitParts       = 8                      // of the heartbeat timeout
+	longestHeartbeat  = 900 * time.Millisecond // what a leader that dies has accepted is to be with the others' subscribers within 3 s
+	shortestCommit    = 50 * time.Millisecond
+	leaseParts        = 15 // of a lease, of which ...
+	heartbeatParts    = 4  // ... so many are the heartbeat timeout: two elections fit into a lease
+	leaderLeaseParts  = 4  // the leader's lease is all but one of these parts of the heartbeat timeout
+	commitParts       = 30 // of a lease
 )
 
-// paceFor gives the pace that a lease allows. A longer lease has members hear of each other less often, in proportion; a
-// shorter one does not have them hear of each other more often.
+// paceFor gives the pace that a lease allows. A longer lease has members hear of each other less often, in proportion, but for the
+// heartbeat, which has a bound; a shorter one does not have them hear of each other more often.
 func paceFor(lease time.Duration) pace {
-	heartbeat := max(shortestHeartbeat, lease/leaseParts*heartbeatParts)
+	heartbeat := min(max(shortestHeartbeat, lease/leaseParts*heartbeatParts), longestHeartbeat)
 	return pace{
 		heartbeat:   heartbeat,
 		leaderLease: heartbeat - heartbeat/leaderLeaseParts,
-		commit:      heartbeat / commitParts,
+		commit:      max(shortestCommit, lease/commitParts),
 	}
 }
