--- a/scale/hollow.go
+++ b/scale/hollow.go
@@ -18,7 +18,7 @@
 // Terms of hollow members, as real ones have them.
 const (
 	usualLease     = 1500 * time.Millisecond // of members that share a fleet
-	voterLease     = 9 * time.Second         // of members that own no proxies: docs/distributing.md
+	voterLease     = 10 * time.Second        // of members that own no proxies: docs/distributing.md
 	renewsPerLease = 8
 	messagesSpan   = 10 * time.Second
 	messagesMost   = 30
