balancer: log empty tables, and required changes that wait or are late

The log has the ejections and the lists, but neither an empty table nor the reason for which a required change waits (spacing, queue or messages), so that several causes cannot be told apart. Change: roundDelay gives the reason for which no round may start, mayPublish asks it. Logged are a table that becomes empty although backends are usable, with how many are ejected or withheld; the reason for which required changes wait; and a wait that is longer than the drain grace allows. No decision changes.

--- a/balancer/controller.go
+++ b/balancer/controller.go
@@ -72,7 +72,12 @@
 	// queueCongested is set while changes wait for capacity in the push channel, so that tables for
 	// proxies wait as well.
 	queueCongested bool
-	syncQueue      []int // indices of the proxies that wait for tables, or for withdrawals to be cleared
+	// requiredSince is the time from which required changes have been pending; 0 if none is pending.
+	requiredSince Microseconds
+	// loggedDelay is the reason that was logged last for the delay of the pending required changes.
+	loggedDelay roundDelay
+	emptyTables map[int]bool // tables that were logged as empty, by table index
+	syncQueue   []int        // indices of the proxies that wait for tables, or for withdrawals to be cleared
 
 	randomDraws uint64 // number of random fractions drawn so far
 }
@@ -95,6 +100,7 @@
 		evaluatedAt:    host.Now(),
 		graceAtListing: config.Rules.DrainGrace,
 		subsetCount:    1,
+		emptyTables:    map[int]bool{},
 	}
 	for i, class := range config.Classes {
 		if class.ZoneLocal {
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -4,17 +4,18 @@
 // the simulator assigns). Effects leave as method calls on its Host (host.go). The rules that lead
 // from events to effects are split into one file each:
 //
-//	outlier.go    which backends are ejected, and when they are readmitted
-//	weight.go     the share of its listed weight that a backend gets: warm-up, slow start, lagging
-//	subset.go     the number of subsets, and the subset of each backend
-//	publish.go    which table entries are published, and when
-//	sync.go       when a proxy that connects gets complete tables, or withdrawals until then
-//	pushqueue.go  how many lines may be queued for sending, and how many messages a proxy may get
-//	overload.go   the summary of load reports over the whole fleet
-//	admission.go  the limit on admitted requests under overload, and its division among classes
-//	retry.go      the retry policy that accompanies a limit
-//	drain.go      which backends proxies must stop using, and within what time
-//	shard.go      the backend that owns a shard, and when writes to the shard must stop
+//	outlier.go        which backends are ejected, and when they are readmitted
+//	weight.go         the share of its listed weight that a backend gets: warm-up, slow start, lagging
+//	subset.go         the number of subsets, and the subset of each backend
+//	table_content.go  which tables are empty although backends could be published in them
+//	publish.go        which table entries are published, and when
+//	sync.go           when a proxy that connects gets complete tables, or withdrawals until then
+//	pushqueue.go      how many lines may be queued for sending, and how many messages a proxy may get
+//	overload.go       the summary of load reports over the whole fleet
+//	admission.go      the limit on admitted requests under overload, and its division among classes
+//	retry.go          the retry policy that accompanies a limit
+//	drain.go          which backends proxies must stop using, and within what time
+//	shard.go          the backend that owns a shard, and when writes to the shard must stop
 //
 // State, and its updates by reports and endpoint lists, is in backend.go, proxy.go and demand.go,
 // settings are in config.go, and the arguments of events in events.go. docs/design.md gives the
--- a/balancer/fakehost_test.go
+++ b/balancer/fakehost_test.go
@@ -24,14 +24,15 @@
 	polls        int
 	healthChecks []int
 	effects      []string
+	logs         []string
 	// unsentLines is the number of lines that the push channel of runChannel has not sent yet, by
 	// batch number.
 	unsentLines map[int64]float64
 }
 
-func (host *fakeHost) Now() int64      { return host.now }
-func (host *fakeHost) Log(int, string) {}
-func (host *fakeHost) PollEndpoints()  { host.polls++ }
+func (host *fakeHost) Now() int64             { return host.now }
+func (host *fakeHost) Log(_ int, text string) { host.logs = append(host.logs, text) }
+func (host *fakeHost) PollEndpoints()         { host.polls++ }
 func (host *fakeHost) SetTimer(wait int64, tag uint64) {
 	host.timers, host.timerTag = append(host.timers, host.now+wait), tag
 }
@@ -220,6 +221,14 @@
 	}
 }
 
+// expectLog fails the test unless a decision with the given text was logged.
+func (host *fakeHost) expectLog(text string) {
+	host.Helper()
+	if !slices.Contains(host.logs, text) {
+		host.Errorf("log lines are %q, want one %q", host.logs, text)
+	}
+}
+
 // expectWeight fails the test if a backend's weight in table 0 differs from the wanted weight.
 func (host *fakeHost) expectWeight(b int, want float64, when string) {
 	host.Helper()
--- a/balancer/publish.go
+++ b/balancer/publish.go
@@ -17,7 +17,7 @@
 // A round is due with each endpoint list and each tick if a required change is pending. It is also
 // due with a tick once minPublishInterval has passed since the last round that published anything,
 // or if that round left some entries unpublished. An ack does not trigger a round. A round that is
-// due starts (mayPublish) only if
+// due starts (roundDelay) only if
 //   - enough time has passed since any change of an earlier clock time was sent to several proxies,
 //     if the settings limit messages. The time that has to pass is the drain grace that was left
 //     when the drain was listed (computeGraceAtListing), less PushChannel.MaxLatency and a tick,
@@ -89,31 +89,81 @@
 	c.graceAtListing = c.computeGraceAtListing()
 	c.reserveForTables(now, map[int]float64{})
 	plan := c.planPublication(now)
-	roundStarts := (ordinary || plan.requiredLines > 0) && c.mayPublish(now, plan.requiredLines)
+	delay := c.roundDelay(now, plan.requiredLines)
+	roundStarts := (ordinary || plan.requiredLines > 0) && delay == notDelayed
 	ordinaryWaits := ordinary && plan.changesDue && !c.pushQueue.nearlyEmpty()
 	requiredWaits := plan.requiredLines > 0 && c.pushQueue.queuedLines+plan.requiredLines > c.pushQueue.capacity()
 	c.queueCongested = !roundStarts && (ordinaryWaits || requiredWaits)
+	c.logRequiredChanges(plan, delay)
 	if roundStarts {
 		c.publishRound(plan)
 	}
+	c.logEmptyTables(now)
 	c.reconcileShards(now)
 	c.syncProxies(now)
 }
 
+// roundDelay is the reason for which no round of changes may start yet.
+type roundDelay string
+
+const (
+	notDelayed        roundDelay = ""
+	delayedBySpacing  roundDelay = "the last round was sent too recently"
+	delayedByQueue    roundDelay = "the push queue has no capacity"
+	delayedByMessages roundDelay = "a proxy may be sent no more messages within the message window"
+)
+
+// logRequiredChanges logs why required changes wait, unless it is for the spacing of rounds alone,
+// and how long they have waited if the round that sends them starts too late for the drain grace.
+func (c *Controller) logRequiredChanges(plan *publication, delay roundDelay) {
+	if plan.requiredLines == 0 {
+		c.requiredSince, c.loggedDelay = 0, notDelayed
+		return
+	}
+	if c.requiredSince == 0 {
+		c.requiredSince = plan.now
+	}
+	waited := float64(plan.now-c.requiredSince) / float64(second)
+	allowed := float64(c.graceAtListing-c.pushQueue.MaxLatency) / float64(second)
+	switch {
+	case delay == notDelayed && waited > max(allowed, 0):
+		c.logf(-1, "required changes sent after %.2f s, %.2f s allowed", waited, allowed)
+	case delay != notDelayed && delay != delayedBySpacing && delay != c.loggedDelay:
+		c.logf(-1, "required changes wait: %s", delay)
+		c.loggedDelay = delay
+	}
+	if delay == notDelayed {
+		c.requiredSince, c.loggedDelay = 0, notDelayed
+	}
+}
+
 // mayPublish reports whether a round of changes may start now, with the given cost of required
-// changes, by the conditions in the header of this file.
+// changes.
 func (c *Controller) mayPublish(now Microseconds, required Lines) bool {
+	return c.roundDelay(now, required) == notDelayed
+}
+
+// roundDelay returns the reason for which a round of changes with the given cost of required changes
+// may not start now, by the conditions in the header of this file.
+func (c *Controller) roundDelay(now Microseconds, required Lines) roundDelay {
 	queue := &c.pushQueue
 	interval := min((c.graceAtListing-queue.MaxLatency-tickInterval)/publicationsPerGrace,
 		queue.MessageWindow/int64(max(queue.MaxMessages, 1)))
 	tooSoon := queue.MaxMessages > 0 && now > c.changedAt && now-c.changedAt < interval
 	fits := required > 0 && queue.queuedLines+required <= queue.capacity()
-	if tooSoon || !queue.nearlyEmpty() && !fits {
-		return false
-	}
-	return !slices.ContainsFunc(c.proxies, func(proxy *proxyState) bool {
+	messagesSpent := func(proxy *proxyState) bool {
 		return proxy.tablesAssigned && !queue.mayPush(proxy, now, required > 0)
-	})
+	}
+	switch {
+	case tooSoon:
+		return delayedBySpacing
+	case !queue.nearlyEmpty() && !fits:
+		return delayedByQueue
+	case slices.ContainsFunc(c.proxies, messagesSpent):
+		return delayedByMessages
+	default:
+		return notDelayed
+	}
 }
 
 // planPublication sums the changes to be published, and their costs.
--- a/balancer/publish_test.go
+++ b/balancer/publish_test.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "testing"
+import (
+	"slices"
+	"strings"
+	"testing"
+)
 
 func TestOrdinaryChanges(t *testing.T) {
 	t.Run("ordinary changes keep the publication interval", func(t *testing.T) {
@@ -38,3 +42,27 @@
 		}
 	})
 }
+
+func TestDelaysAreLogged(t *testing.T) {
+	// A drain that was late and a zone that had no entry left no trace in the log.
+	settings := defaultSettings()
+	settings.classes[1].ZoneLocal = true
+	settings.channel.MaxMessages = 2
+	host := startController(t, settings, 6, 2)
+	host.run(12, func() { host.reportHealthy() })
+	for b := range 2 {
+		host.controller.EndpointsUpdated(false, []Endpoint{{Backend: b, State: Draining, Weight: 2, Zone: b}})
+		host.run(1.25, nil)
+	}
+	host.controller.EndpointsUpdated(false, []Endpoint{{Backend: 6, State: Ready, Weight: 2, Zone: 2},
+		{Backend: 2, State: Draining, Weight: 2}})
+	host.run(9, nil)
+	host.expectLog("required changes wait: a proxy may be sent no more messages within the message window")
+	host.expectLog("table of zone 2 is empty true: 1 backends usable, 0 ejected, 0 withheld")
+	host.expectLog("table of zone 2 is empty false: 1 backends usable, 0 ejected, 0 withheld")
+	if !slices.ContainsFunc(host.logs, func(text string) bool {
+		return strings.HasPrefix(text, "required changes sent after ") && strings.HasSuffix(text, ", 2.34 s allowed")
+	}) {
+		t.Errorf("log lines are %q, want one of required changes that were sent too late", host.logs)
+	}
+}
--- a/balancer/weight.go
+++ b/balancer/weight.go
@@ -46,8 +46,7 @@
 // targetWeight returns the weight that a backend is to be published with now; 0 means no entry.
 func (c *Controller) targetWeight(backend *backendState, now Microseconds) float64 {
 	ejected := backend.ejected && !c.panicMode
-	withheld := c.withholdWarmingUp() && c.warmingUp(backend, now)
-	if !c.usable(backend) || ejected || withheld {
+	if !c.usable(backend) || ejected || c.withheld(backend, now) {
 		return 0
 	}
 	return backend.Weight * c.weightShare(backend, now)
@@ -82,6 +81,11 @@
 	return backend.StartedAt > 0 && age < c.rules.WarmupTime
 }
 
+// withheld reports whether a backend gets no entry because it is warming up.
+func (c *Controller) withheld(backend *backendState, now Microseconds) bool {
+	return c.withholdWarmingUp() && c.warmingUp(backend, now)
+}
+
 // withholdWarmingUp reports whether backends that are warming up get no entry. They get none during
 // an overload if proxies ignore limits. Once a warm backend was listed, they also get none until a
 // report shows whether this controller started during an overload, even if no warm backend is
