balancer: what ejects or withholds counts each table by itself

Cause: the bound on ejections (eject) and panic mode looked at the whole fleet alone, and an ejection took a backend out of the tables of its subset and of its zone together. Evidence: the log line of the commit before, "table of zone 0 is empty true: 4 backends usable, 4 ejected, 0 withheld". Change: a backend has a weight for each of its tables. A table in which each usable backend is ejected or withheld has them all; a zone's table keeps a quarter of its listed weight; a subset keeps its entries until it is given others. It is decided with each list and tick, and a first entry of a table that has none, or only such as must go, is a required change. The cost of an entry counts the proxies of its zone too. The fix works because nothing that is left out can take the last entry of a table that has a usable backend.

--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -18,8 +18,8 @@
 	seenDraining bool         // the backend was listed as draining since it was last listed as ready
 	drainDelay   Microseconds // time from the order of the drain to the last list that reported the drain
 
-	published float64 // weight of the backend in this controller's tables; 0 if it has no entry
-	withdrawn bool    // proxies were notified not to use the backend, whatever tables they hold
+	published entryWeights // weights of the backend in this controller's tables
+	withdrawn bool         // proxies were notified not to use the backend, whatever tables they hold
 	// enteredAt is the time at which the backend last became new or was readmitted; 0 if the
 	// backend was on the first list.
 	enteredAt Microseconds
@@ -52,7 +52,14 @@
 	// ejectedByPeerReport is set if the ejection rests on peer reports alone. It is then not
 	// reported back to peers: controllers would otherwise prolong each other's ejections forever.
 	ejectedByPeerReport bool
+	ejectedAt           Microseconds // time of the last ejection
 	readmitAt           Microseconds // time at which the ejection ends
+	// ejectionSuccessRate is the share of the counted attempts that were answered before the last
+	// ejection.
+	ejectionSuccessRate float64
+	// keptInSubset and keptInZone are set if the table of the backend's subset or zone has its entry
+	// although it is ejected or withheld (table_content.go).
+	keptInSubset, keptInZone bool
 	// backoff is the duration of the last ejection. It is 0 if the backend was never ejected since it
 	// was new or restarted.
 	backoff Microseconds
@@ -85,7 +92,7 @@
 	restarted := b.listed && endpoint.StartedAt > b.StartedAt
 	// A backend that kept its table entry while a wrong endpoint list omitted it is neither new nor
 	// cold.
-	keptEntry := b.State == Ready || b.published > 0
+	keptEntry := b.State == Ready || b.published.any()
 	isNew := !b.listed || restarted || !keptEntry
 	if endpoint.State == Removed || loadDependent {
 		// The weight stands for the size of the backend, not for its current load. A removed
@@ -163,7 +170,9 @@
 
 // unreducedWeight returns the published weight as if it were not reduced: late answers do not
 // diminish a backend's capacity.
-func (b *backendState) unreducedWeight() float64 { return b.published / cmp.Or(b.reducedShare, 1) }
+func (b *backendState) unreducedWeight() float64 {
+	return b.published.max() / cmp.Or(b.reducedShare, 1)
+}
 
 // successRate returns the share of the counted attempts that were answered; 1 if there are none.
 func (b *backendState) successRate() float64 {
@@ -175,7 +184,7 @@
 func (c *Controller) usable(backend *backendState) bool {
 	// With OnlyDrainingMustLeave, a removed backend keeps its entry until its attempts fail.
 	if backend.State == Removed {
-		return !c.mustLeave(backend) && !backend.ejected && backend.published > 0
+		return !c.mustLeave(backend) && !backend.ejected && backend.published.any()
 	}
 	return backend.listed && backend.State == Ready
 }
--- a/balancer/controller.go
+++ b/balancer/controller.go
@@ -52,7 +52,6 @@
 	evaluatedAt Microseconds // time of the last evaluation of reports
 	newAttempts int          // attempts reported since the last evaluation
 	reportSpan  float64      // smoothed time that a report line covers, in microseconds
-	panicMode   bool         // all usable backends are ejected, so all of them are published
 
 	// Table indices: tables 0 to subsetCount-1 are those of the subsets, for the shared classes. They
 	// are followed by one table per zone, for the zone-local classes.
@@ -76,6 +75,7 @@
 	requiredSince Microseconds
 	// loggedDelay is the reason that was logged last for the delay of the pending required changes.
 	loggedDelay roundDelay
+	panicTables map[int]bool // tables in panic mode (table_content.go), by table index
 	emptyTables map[int]bool // tables that were logged as empty, by table index
 	syncQueue   []int        // indices of the proxies that wait for tables, or for withdrawals to be cleared
 
@@ -100,6 +100,7 @@
 		evaluatedAt:    host.Now(),
 		graceAtListing: config.Rules.DrainGrace,
 		subsetCount:    1,
+		panicTables:    map[int]bool{},
 		emptyTables:    map[int]bool{},
 	}
 	for i, class := range config.Classes {
@@ -133,7 +134,6 @@
 	}
 	c.readmitDueBackends(now)
 	c.raiseDueWeights(now)
-	c.updatePanicMode()
 	ordinary := c.admission.limitLowered || now-c.publishedAt >= minPublishInterval
 	c.publishChanges(now, ordinary)
 }
@@ -206,7 +206,7 @@
 // must have been listed before.
 func (c *Controller) ForgetBackend(id int) bool {
 	backend := c.backends[id]
-	if backend.State != Removed || backend.published != 0 {
+	if backend.State != Removed || backend.published.any() {
 		return false
 	}
 	c.backends[id] = &backendState{}
--- a/balancer/drain.go
+++ b/balancer/drain.go
@@ -37,7 +37,7 @@
 func (c *Controller) computeGraceAtListing() Microseconds {
 	delay := Microseconds(0)
 	for _, backend := range c.backends {
-		pending := backend.published > 0 || !backend.withdrawn
+		pending := backend.published.any() || !backend.withdrawn
 		if c.mustLeave(backend) && pending {
 			delay = max(delay, backend.drainDelay)
 		}
--- a/balancer/outlier.go
+++ b/balancer/outlier.go
@@ -1,7 +1,7 @@
 package balancer
 
-// Outlier detection: a usable backend is ejected, so that its entries are removed, if it is dead,
-// failing or lagging. An attempt fails if it timed out, was refused or was answered with an error;
+// Outlier detection: a usable backend is ejected, so that its entries are removed where its
+// tables can do without them, if it is dead, failing or lagging. An attempt fails if it timed out, was refused or was answered with an error;
 // all other attempts are answered.
 //   - dead: consecutiveFailuresToEject attempts in a row failed. They are counted by whole report
 //     lines: one answer in a line resets the count to 0;
@@ -26,9 +26,8 @@
 //
 // No more than maxEjectedShare of the listed weight may be ejected, so that a mistake does not put
 // the load of many backends on a few. Backends that the list has removed are exempt from this
-// bound. A backend that would exceed the bound keeps its entry, and nothing is logged. If all
-// usable backends are ejected, for example because the list removes all others, all are published
-// (panic mode).
+// bound. A backend that would exceed the bound keeps its entry, and nothing is logged. A table of
+// which too much is ejected keeps entries of ejected backends (table_content.go).
 //
 // Backends are evaluated once per report interval, if this controller's proxies reported attempts
 // since the last evaluation, or at once if a report from another controller brings the consecutive
@@ -205,6 +204,11 @@
 	fleet.ejectedWeight += backend.Weight
 	backend.backoff = max(baseEjectionTime, min(2*backend.backoff, maxEjectionTime))
 	backend.ejected = true
+	backend.ejectedAt = now
+	backend.ejectionSuccessRate = backend.successRate()
+	if fleet.dead(backend) {
+		backend.ejectionSuccessRate = 0 // earlier answers may still be within the window
+	}
 	backend.ejectedByPeerReport = backend.reportedByPeersOnly
 	backend.readmitAt = now + backend.backoff
 	backend.healthCheckedAt = now
@@ -226,26 +230,6 @@
 	}
 }
 
-// updatePanicMode sets panic mode, in which ejected backends are published, if every usable backend
-// is ejected, and clears it otherwise.
-func (c *Controller) updatePanicMode() {
-	usable, ejected := 0, 0
-	for _, backend := range c.backends {
-		if !c.usable(backend) {
-			continue
-		}
-		usable++
-		if backend.ejected {
-			ejected++
-		}
-	}
-	allEjected := usable > 0 && ejected == usable
-	if allEjected != c.panicMode {
-		c.panicMode = allEjected
-		c.logf(-1, "panic mode %v, %d backends usable", allEjected, usable)
-	}
-}
-
 // readmit ends the ejection of a backend and discards its outcomes.
 func (c *Controller) readmit(id int, now Microseconds, healthChecked bool) {
 	backend := c.backends[id]
--- a/balancer/overload.go
+++ b/balancer/overload.go
@@ -115,7 +115,7 @@
 		sum.answerTime += answerTime
 		// The answers of a backend that lags far behind the median count towards the latency ratio
 		// of the fleet, but do not show the throughput that the weight of the backend allows.
-		keepsUp := backend.published > 0 && backend.score < laggingScore
+		keepsUp := backend.published.any() && backend.score < laggingScore
 		if keepsUp {
 			sum.answers += answered
 			load.reportedCapacity += weight * reporting
@@ -195,7 +195,7 @@
 func (c *Controller) backendsIdle(meanAnswerTime float64) bool {
 	reporting, idle := 0, 0
 	for _, backend := range c.backends {
-		if backend.published == 0 || backend.lastAnswerAt <= c.evaluatedAt || !backend.load.known() {
+		if !backend.published.any() || backend.lastAnswerAt <= c.evaluatedAt || !backend.load.known() {
 			continue
 		}
 		reporting++
--- a/balancer/publish.go
+++ b/balancer/publish.go
@@ -54,22 +54,27 @@
 // publication holds the figures that a round of changes is planned with. It is valid for one call
 // of publishChanges.
 type publication struct {
-	now         Microseconds
-	overhead    Lines // cost in lines of a message to one proxy, apart from the changes in the message
-	tablesEmpty bool  // no backend has an entry in any table
+	now      Microseconds
+	overhead Lines          // cost in lines of a message to one proxy, apart from the changes in the message
+	contents []tableContent // content of each table before the round, by table index
+	// remainingEntries holds, by table index, how many entries a table has that proxies need not stop
+	// using. A table without any is empty, or would be once the required removals are published.
+	remainingEntries []int
+	postponed        map[*backendState]bool // backends whose change waits because it would empty a table
 
 	connected           float64   // number of connected proxies
 	withdrawalReceivers float64   // number of connected proxies for which receivesWithdrawals is true
 	proxiesBySubset     []float64 // number of proxies with assigned tables, by subset
-	// liftingProxiesBySubset is the number of proxies with assigned tables for which
-	// firstEntryLiftsWithdrawal is true, by subset. The first entry of a backend costs one more
-	// line at each such proxy.
-	liftingProxiesBySubset []float64
+	proxiesByTable      []float64 // number of proxies with assigned tables that use a table, by table index
+	// liftingProxiesByTable is the number of proxies with assigned tables for which
+	// firstEntryLiftsWithdrawal is true, by index of the table that they use. The first entry of a
+	// backend costs one more line at each such proxy.
+	liftingProxiesByTable []float64
 
 	targetBySubset []float64 // target weight of each subset
 	fairWeight     float64   // mean target weight of a subset
-	// messageCharged is set for a subset once the cost of one of its changes includes the overhead
-	// of the messages to the proxies of the subset. Further changes of the subset share these
+	// messageCharged is set for a table once the cost of one of its changes includes the overhead of
+	// the messages to the proxies that use the table. Further changes of the table share these
 	// messages.
 	messageCharged []bool
 
@@ -86,9 +91,11 @@
 // required or the time for ordinary changes has come. A round that starts sends both: ordinary
 // entries and limits accompany the required ones.
 func (c *Controller) publishChanges(now Microseconds, ordinary bool) {
+	contents := c.tableContents(now)
+	c.updateKeptEntries(now, contents)
 	c.graceAtListing = c.computeGraceAtListing()
 	c.reserveForTables(now, map[int]float64{})
-	plan := c.planPublication(now)
+	plan := c.planPublication(now, contents)
 	delay := c.roundDelay(now, plan.requiredLines)
 	roundStarts := (ordinary || plan.requiredLines > 0) && delay == notDelayed
 	ordinaryWaits := ordinary && plan.changesDue && !c.pushQueue.nearlyEmpty()
@@ -167,9 +174,10 @@
 }
 
 // planPublication sums the changes to be published, and their costs.
-func (c *Controller) planPublication(now Microseconds) *publication {
-	plan := &publication{now: now, overhead: c.pushQueue.messageOverhead(), messageCharged: make([]bool, c.subsetCount)}
-	plan.tablesEmpty = !slices.ContainsFunc(c.backends, func(backend *backendState) bool { return backend.published > 0 })
+func (c *Controller) planPublication(now Microseconds, contents []tableContent) *publication {
+	plan := &publication{now: now, overhead: c.pushQueue.messageOverhead(), contents: contents, postponed: map[*backendState]bool{}}
+	plan.messageCharged = make([]bool, len(contents))
+	plan.remainingEntries = make([]int, len(contents))
 	plan.targetBySubset, plan.fairWeight = c.subsetTargetWeights(now)
 	plan.changesDue = slices.ContainsFunc(c.admission.priorityOrder, c.admission.limitChanged)
 	c.countProxies(plan)
@@ -191,13 +199,12 @@
 // countProxies counts the proxies that changes are sent to.
 func (c *Controller) countProxies(plan *publication) {
 	plan.proxiesBySubset = make([]float64, c.subsetCount)
-	plan.liftingProxiesBySubset = make([]float64, c.subsetCount)
+	plan.proxiesByTable = make([]float64, len(plan.contents))
+	plan.liftingProxiesByTable = make([]float64, len(plan.contents))
 	for _, proxy := range c.proxies {
 		if proxy.tablesAssigned {
 			plan.proxiesBySubset[proxy.subset]++
-			if proxy.firstEntryLiftsWithdrawal() {
-				plan.liftingProxiesBySubset[proxy.subset]++
-			}
+			plan.countTables(c, proxy)
 		}
 		if proxy.connected {
 			plan.connected++
@@ -208,6 +215,20 @@
 	}
 }
 
+// countTables counts a proxy with assigned tables at each table that it uses. No backend belongs to
+// the table of a zone without a backend, so such a table is left out.
+func (plan *publication) countTables(c *Controller, proxy *proxyState) {
+	for _, table := range []int{proxy.subset, c.zoneTable(proxy.zone)} {
+		if table >= len(plan.proxiesByTable) {
+			continue
+		}
+		plan.proxiesByTable[table]++
+		if proxy.firstEntryLiftsWithdrawal() {
+			plan.liftingProxiesByTable[table]++
+		}
+	}
+}
+
 // receivesWithdrawals reports whether a proxy may use backends that the tables of this controller
 // do not give it: backends from another controller's tables, or owners that it reads from the store
 // of shards.
@@ -225,13 +246,16 @@
 		}
 	}
 	for _, backend := range c.backends {
-		weight := c.targetWeight(backend, plan.now)
-		if weight != backend.published {
+		c.countRemaining(plan, backend, 1)
+	}
+	for _, backend := range c.backends {
+		target := c.targetWeights(backend, plan.now)
+		if target != backend.published {
 			plan.changesDue = true
 		}
-		if c.changeRequired(plan, backend, weight) {
-			plan.requiredLines += max(plan.entryCost(backend), 1)
-			plan.messageCharged[backend.subset] = true
+		if c.changeRequired(plan, backend, target) {
+			plan.requiredLines += max(c.entryCost(plan, backend, target), 1)
+			c.chargeMessages(plan, backend, target)
 		}
 		if backend.withdrawn != c.mustLeave(backend) {
 			plan.withdrawalsDue++
@@ -239,26 +263,88 @@
 	}
 }
 
-// changeRequired reports whether the change of a backend's entry to a weight is a required change.
-func (c *Controller) changeRequired(plan *publication, backend *backendState, weight float64) bool {
-	lowers := weight < backend.published && (c.warmingUp(backend, plan.now) || c.mustLeave(backend))
-	fillsEmptyTable := weight > 0 && plan.tablesEmpty
-	return lowers || fillsEmptyTable
+// countRemaining adds the given number to the count of remaining entries of each table in which a
+// backend has an entry, unless proxies must stop using the backend.
+func (c *Controller) countRemaining(plan *publication, backend *backendState, number int) {
+	if c.mustLeave(backend) {
+		return
+	}
+	if backend.published.subset > 0 {
+		plan.remainingEntries[backend.subset] += number
+	}
+	if backend.published.zone > 0 {
+		plan.remainingEntries[c.zoneTable(backend.Zone)] += number
+	}
 }
 
-// entryCost returns the cost of a change of a backend's entry. The change is sent to the proxies of
-// the backend's subset, to each in one message with all other changes of this round.
-func (plan *publication) entryCost(backend *backendState) Lines {
-	cost := plan.proxiesBySubset[backend.subset]
-	if !plan.messageCharged[backend.subset] {
-		cost *= 1 + plan.overhead
+// emptiesTable reports whether a change of a backend's entries to their targets would take the last
+// entry from a table that is to get others. Such a change waits for these, unless proxies must stop
+// using the backend.
+func (c *Controller) emptiesTable(plan *publication, backend *backendState, target entryWeights) bool {
+	if c.mustLeave(backend) {
+		return false
 	}
-	if backend.published == 0 {
-		cost += plan.liftingProxiesBySubset[backend.subset]
+	isLast := func(table int) bool {
+		return plan.remainingEntries[table] == 1 && plan.contents[table].usable > 0
+	}
+	emptiesSubset := backend.published.subset > 0 && target.subset == 0 && isLast(backend.subset)
+	emptiesZone := backend.published.zone > 0 && target.zone == 0 && isLast(c.zoneTable(backend.Zone))
+	return emptiesSubset || emptiesZone
+}
+
+// changeRequired reports whether the change of a backend's entries to their targets is a required
+// change.
+func (c *Controller) changeRequired(plan *publication, backend *backendState, target entryWeights) bool {
+	mustLower := c.warmingUp(backend, plan.now) || c.mustLeave(backend)
+	fillsSubset := target.subset > 0 && plan.remainingEntries[backend.subset] == 0
+	fillsZone := target.zone > 0 && plan.remainingEntries[c.zoneTable(backend.Zone)] == 0
+	return mustLower && backend.published.lowers(target) || fillsSubset || fillsZone
+}
+
+// entryCost returns the cost of a change of a backend's entries to their targets. The change is sent
+// to the proxies of each table in which an entry changes, to each in one message with all other
+// changes of this round.
+func (c *Controller) entryCost(plan *publication, backend *backendState, target entryWeights) (cost Lines) {
+	isFirstEntry := !backend.published.any()
+	covered := false // each proxy gets a message that another change of this round has paid for
+	for _, table := range c.changedTables(backend, target) {
+		cost += plan.proxiesByTable[table]
+		if !plan.messageCharged[table] && !covered {
+			cost += plan.proxiesByTable[table] * plan.overhead
+		}
+		if isFirstEntry {
+			cost += plan.liftingProxiesByTable[table]
+		}
+		covered = covered || table == 0 && c.subsetCount == 1
 	}
 	return cost
 }
 
+// chargeMessages notes that the messages to the proxies of each table in which an entry of a backend
+// changes are paid for. With a single subset, all proxies use its table.
+func (c *Controller) chargeMessages(plan *publication, backend *backendState, target entryWeights) {
+	for _, table := range c.changedTables(backend, target) {
+		plan.messageCharged[table] = true
+		if table == 0 && c.subsetCount == 1 {
+			for i := range plan.messageCharged {
+				plan.messageCharged[i] = true
+			}
+		}
+	}
+}
+
+// changedTables returns the tables in which the entry of a backend differs from its target: that of
+// its subset, that of its zone, or both.
+func (c *Controller) changedTables(backend *backendState, target entryWeights) (tables []int) {
+	if backend.published.subset != target.subset {
+		tables = append(tables, backend.subset)
+	}
+	if backend.published.zone != target.zone {
+		tables = append(tables, c.zoneTable(backend.Zone))
+	}
+	return tables
+}
+
 // publishRound publishes as many changes as the push queue has capacity for.
 func (c *Controller) publishRound(plan *publication) {
 	weightBefore := 0.
@@ -273,7 +359,8 @@
 	limited := c.publishLimits()
 	if limited || moved || entries.published {
 		c.publishedAt = plan.now
-		if entries.leftOver { // a publishedAt of 0 makes a round due at the next tick, for the entries left over
+		bridged := moved && slices.ContainsFunc(c.backends, func(backend *backendState) bool { return backend.keptInSubset })
+		if entries.leftOver || bridged { // a publishedAt of 0 makes a round due at the next tick, for the entries left over
 			c.publishedAt = 0
 		}
 	}
@@ -287,47 +374,70 @@
 }
 
 // publishEntries publishes required entry changes, then ordinary ones, as far as the push queue has
-// capacity.
+// capacity. Changes that would empty a table come last.
 func (c *Controller) publishEntries(plan *publication) (entries entryChanges) {
-	order := c.orderChanges(plan)
+	pending := c.orderChanges(plan)
 	clear(plan.messageCharged)
-	for _, required := range []bool{true, false} {
-		for _, backend := range order {
-			weight := c.targetWeight(backend, plan.now)
-			if weight == backend.published || c.changeRequired(plan, backend, weight) != required {
-				continue
-			}
-			cost := plan.entryCost(backend)
-			delaysTables := !required && c.pushQueue.wouldDelayTables(cost)
-			if delaysTables || !c.pushQueue.hasCapacity(cost, required) {
-				entries.leftOver = true
-				continue
-			}
-			// An ejection may be caused by a fault of this controller's own network, so it does not
-			// lower the limit.
-			countsAsLost := backend.State != Ready || c.warmingUp(backend, plan.now)
-			if countsAsLost {
-				entries.lostWeight += max(0, backend.published-weight) / cmp.Or(backend.reducedShare, 1)
-			}
-			c.setPublished(backend, weight)
-			entries.published = true
-			plan.messageCharged[backend.subset] = true
-			plan.tablesEmpty = plan.tablesEmpty && weight == 0
-		}
+	for _, kind := range []changeKind{requiredChanges, ordinaryChanges, emptyingChanges} {
+		pending = slices.DeleteFunc(pending, func(backend *backendState) bool {
+			return c.publishIfPossible(plan, backend, kind, &entries)
+		})
 	}
+	entries.leftOver = len(pending) > 0
 	return entries
 }
 
+// changeKind is a kind of entry changes, which are published in the order of these values.
+type changeKind int
+
+const (
+	requiredChanges changeKind = iota // changes for which changeRequired is true
+	ordinaryChanges                   // all other changes, except emptyingChanges
+	emptyingChanges                   // changes for which emptiesTable was true before the others were published
+)
+
+// publishIfPossible publishes the change of a backend's entries if it is of the given kind and the
+// push queue has capacity for it, and reports whether it did.
+func (c *Controller) publishIfPossible(plan *publication, backend *backendState, kind changeKind, entries *entryChanges) bool {
+	target := c.targetWeights(backend, plan.now)
+	required := c.changeRequired(plan, backend, target)
+	if !plan.postponed[backend] && required != (kind == requiredChanges) || plan.postponed[backend] != (kind == emptyingChanges) {
+		return false
+	}
+	if c.emptiesTable(plan, backend, target) {
+		plan.postponed[backend] = true
+		return false
+	}
+	cost := c.entryCost(plan, backend, target)
+	delaysTables := !required && c.pushQueue.wouldDelayTables(cost)
+	if delaysTables || !c.pushQueue.hasCapacity(cost, required) {
+		return false
+	}
+	// An ejection may be caused by a fault of this controller's own network, so it does not lower
+	// the limit.
+	countsAsLost := backend.State != Ready || c.warmingUp(backend, plan.now)
+	if countsAsLost {
+		entries.lostWeight += max(0, backend.published.max()-target.max()) / cmp.Or(backend.reducedShare, 1)
+	}
+	c.chargeMessages(plan, backend, target)
+	c.countRemaining(plan, backend, -1)
+	c.setPublished(backend, target)
+	c.countRemaining(plan, backend, 1)
+	entries.published = true
+	return true
+}
+
 // orderChanges returns the backends whose entries are to change. Backends of a subset follow each
 // other, since their changes share messages; the subset that changes most comes first, and within
 // it the largest change.
 func (c *Controller) orderChanges(plan *publication) (order []*backendState) {
 	difference := func(backend *backendState) float64 {
-		return math.Abs(c.targetWeight(backend, plan.now) - backend.published)
+		target := c.targetWeights(backend, plan.now)
+		return max(math.Abs(target.subset-backend.published.subset), math.Abs(target.zone-backend.published.zone))
 	}
 	bySubset := make([]float64, c.subsetCount)
 	for _, backend := range c.backends {
-		if c.targetWeight(backend, plan.now) != backend.published {
+		if c.targetWeights(backend, plan.now) != backend.published {
 			order = append(order, backend)
 			bySubset[backend.subset] += difference(backend)
 		}
@@ -339,18 +449,17 @@
 	return order
 }
 
-// setPublished publishes a backend's weight in its tables. With sharding it only records the
-// weight, as a table then holds nothing but the owner of a shard.
-func (c *Controller) setPublished(backend *backendState, weight float64) {
-	isFirstEntry := backend.published == 0
-	backend.published = weight
+// setPublished publishes a backend's weights in its tables. With sharding it only records the
+// weights, as a table then holds nothing but the owner of a shard.
+func (c *Controller) setPublished(backend *backendState, target entryWeights) {
+	isFirstEntry := !backend.published.any()
+	changed := c.changedTables(backend, target)
+	backend.published = target
 	if c.sharding.enabled() {
 		return
 	}
-	for table := range c.zoneTable(backend.Zone) + 1 {
-		if c.inTable(backend, table) {
-			c.publishEntry(backend, table, weight, isFirstEntry)
-		}
+	for _, table := range changed {
+		c.publishEntry(backend, table, c.weightIn(target, table), isFirstEntry)
 	}
 }
 
@@ -378,7 +487,7 @@
 	// to pay for the overhead of the message.
 	messageCost := plan.overhead + float64(len(c.classes))
 	for id, backend := range c.backends {
-		withdrawn := c.mustLeave(backend) && backend.published == 0
+		withdrawn := c.mustLeave(backend) && !backend.published.any()
 		if withdrawn == backend.withdrawn || !c.pushQueue.hasCapacity(plan.withdrawalReceivers*(1+messageCost), true) {
 			continue
 		}
--- a/balancer/shard.go
+++ b/balancer/shard.go
@@ -187,13 +187,13 @@
 		return noOwner
 	}
 	hasOwner := shard.owner >= 0 && shard.owner < len(c.backends)
-	if hasOwner && c.targetWeight(c.backends[shard.owner], now) > 0 {
+	if hasOwner && c.targetWeights(c.backends[shard.owner], now).any() {
 		return noOwner
 	}
 	load := c.ownerLoads()
 	best, leastLoad := noOwner, 0.
 	for id, backend := range c.backends {
-		weight := c.targetWeight(backend, now)
+		weight := c.targetWeights(backend, now).max()
 		if weight > 0 && (best == noOwner || load[id]/weight < leastLoad) {
 			best, leastLoad = id, load[id]/weight
 		}
--- a/balancer/subset.go
+++ b/balancer/subset.go
@@ -127,11 +127,15 @@
 }
 
 // subsetTargetWeights returns the sum of target weights by subset, and the mean of these sums,
-// which is the fair weight of a subset.
+// which is the fair weight of a subset. Backends that a table keeps although they are ejected or
+// withheld do not count, so that their subset is given others.
 func (c *Controller) subsetTargetWeights(now Microseconds) (weights []float64, fair float64) {
 	weights = make([]float64, c.subsetCount)
 	for _, backend := range c.backends {
-		weight := c.targetWeight(backend, now)
+		if backend.keptInSubset {
+			continue
+		}
+		weight := c.targetWeights(backend, now).subset
 		weights[backend.subset] += weight
 		fair += weight / float64(c.subsetCount)
 	}
@@ -158,8 +162,8 @@
 func (c *Controller) moveToSubset(to int, plan *publication) bool {
 	from := slices.Index(plan.targetBySubset, slices.Max(plan.targetBySubset))
 	id := slices.IndexFunc(c.backends, func(backend *backendState) bool {
-		entryIsCurrent := backend.published > 0 && c.targetWeight(backend, plan.now) == backend.published
-		return backend.subset == from && entryIsCurrent && !c.warmingUp(backend, plan.now)
+		entryIsCurrent := backend.published.subset > 0 && c.targetWeights(backend, plan.now) == backend.published
+		return backend.subset == from && entryIsCurrent && !backend.keptInSubset && !c.warmingUp(backend, plan.now)
 	})
 	cost := (plan.proxiesBySubset[from] + plan.proxiesBySubset[to]) * (c.pushQueue.messageOverhead() + 1)
 	if id < 0 || plan.targetBySubset[from] <= plan.fairWeight || !c.pushQueue.hasCapacity(cost, true) {
@@ -169,9 +173,9 @@
 	c.logf(id, "moves to subset %d, which has %.0f%% of its fair weight", to, 100*plan.targetBySubset[to]/plan.fairWeight)
 	c.publishEntry(backend, from, 0, false)
 	backend.subset = to
-	c.publishEntry(backend, to, backend.published, true)
-	plan.targetBySubset[from] -= backend.published
-	plan.targetBySubset[to] += backend.published
+	c.publishEntry(backend, to, backend.published.subset, true)
+	plan.targetBySubset[from] -= backend.published.subset
+	plan.targetBySubset[to] += backend.published.subset
 	return true
 }
 
@@ -197,10 +201,18 @@
 	return c.sharedClasses != 0 && table == backend.subset
 }
 
+// weightIn returns the one of a backend's weights that belongs to a table of the backend.
+func (c *Controller) weightIn(weights entryWeights, table int) float64 {
+	if table >= c.subsetCount {
+		return weights.zone
+	}
+	return weights.subset
+}
+
 // tableSize returns the number of entries of a table.
 func (c *Controller) tableSize(table int) (entries int) {
 	for _, backend := range c.backends {
-		if backend.published > 0 && c.inTable(backend, table) {
+		if c.inTable(backend, table) && c.weightIn(backend.published, table) > 0 {
 			entries++
 		}
 	}
--- a/balancer/subset_test.go
+++ b/balancer/subset_test.go
@@ -178,7 +178,7 @@
 		queuedBefore := host.controller.pushQueue.queuedLines
 		host.updateEndpoints(0, 1, Draining, 0)
 		host.run(0.25, nil)
-		weight, lines := host.controller.backends[0].published, host.controller.pushQueue.queuedLines-queuedBefore
+		weight, lines := host.controller.backends[0].published.max(), host.controller.pushQueue.queuedLines-queuedBefore
 		if weight > 0 || lines > 20*6 {
 			t.Errorf("the drained backend has weight %.1f, want 0; the drain cost %.0f lines, want at most 120", weight, lines)
 		}
@@ -187,7 +187,7 @@
 			t.Errorf("%.0f lines were queued, want at most 3600", maxQueued)
 		}
 		for b := range 61 {
-			if host.controller.backends[b].published > 0 {
+			if host.controller.backends[b].published.any() {
 				t.Errorf("draining backend %d still has its entry", b)
 			}
 		}
--- a/balancer/weight.go
+++ b/balancer/weight.go
@@ -43,18 +43,31 @@
 	fullWeightTolerance = 0.05
 )
 
-// targetWeight returns the weight that a backend is to be published with now; 0 means no entry.
-func (c *Controller) targetWeight(backend *backendState, now Microseconds) float64 {
-	ejected := backend.ejected && !c.panicMode
-	if !c.usable(backend) || ejected || c.withheld(backend, now) {
-		return 0
+// targetWeights returns the weights that a backend is to be published with now.
+func (c *Controller) targetWeights(backend *backendState, now Microseconds) (target entryWeights) {
+	if !c.usable(backend) {
+		return target
 	}
-	return backend.Weight * c.weightShare(backend, now)
+	qualifies := !backend.ejected && !c.withheld(backend, now)
+	weight := backend.Weight * c.weightShare(backend, now)
+	if c.sharedClasses != 0 && (qualifies || backend.keptInSubset) {
+		target.subset = weight
+	}
+	if c.zoneLocalClasses != 0 && (qualifies || backend.keptInZone) {
+		target.zone = weight
+	}
+	return target
 }
 
 // weightShare returns the share of its listed weight that a backend may carry now.
 func (c *Controller) weightShare(backend *backendState, now Microseconds) float64 {
-	share := cmp.Or(backend.reducedShare, 1)
+	return min(cmp.Or(backend.reducedShare, 1), c.rampShare(backend, now))
+}
+
+// rampShare returns the share of its listed weight that a backend may carry now because of its
+// warm-up and its slow start.
+func (c *Controller) rampShare(backend *backendState, now Microseconds) float64 {
+	share := 1.
 	enteredWarm := !c.warmingUp(backend, backend.enteredAt)
 	if enteredWarm && now-backend.enteredAt < slowStartTime {
 		share = min(share, slowStartShare)
