balancer: each message leaves messages for the required changes that follow

Cause: a round of required changes waited for 0.375 s after the last one and no longer, so each drain had a message to itself, and nothing kept any for later drains. Evidence: "required changes wait: a proxy may be sent no more messages within the message window", then "sent after 2.84 s, 1.00 s allowed". Change: message_budget.go. A message before its deadline leaves one for each reserve interval that follows, while those sent so far count; at the deadline, by a timer, all that is pending goes. First tables keep the old rule. The log tells this kept reserve from a spent window, and names only the latter. It works because required changes need one message in each longest wait, however dense they are, and each message is checked against that many.

--- a/balancer/controller.go
+++ b/balancer/controller.go
@@ -73,6 +73,10 @@
 	queueCongested bool
 	// requiredSince is the time from which required changes have been pending; 0 if none is pending.
 	requiredSince Microseconds
+	// nextTickAt is the time of the next tick. A timer that fires before it awaits the deadline of
+	// required changes.
+	nextTickAt      Microseconds
+	deadlineTimerAt Microseconds // time of the last timer for the deadline of required changes
 	// loggedDelay is the reason that was logged last for the delay of the pending required changes.
 	loggedDelay roundDelay
 	panicTables map[int]bool // tables in panic mode (table_content.go), by table index
@@ -110,18 +114,24 @@
 			c.sharedClasses |= 1 << i
 		}
 	}
-	host.SetTimer(tickInterval, c.timerTag())
+	c.scheduleTick(host.Now())
+	c.updateReserve()
 	return c, nil
 }
 
 // TimerFired handles the end of a timer. Each tick checks the changes that wait for time to pass,
-// or for capacity in the push channel.
+// or for capacity in the push channel. A timer before the next tick is for the deadline of required
+// changes.
 func (c *Controller) TimerFired(tag uint64) {
 	if tag != c.timerTag() {
 		return // the timer was set by an earlier incarnation
 	}
 	now := c.host.Now()
-	c.host.SetTimer(tickInterval, c.timerTag())
+	if now < c.nextTickAt {
+		c.publishChanges(now, false)
+		return
+	}
+	c.scheduleTick(now)
 	c.pushQueue.expire(now)
 	if c.telemetry.PollingRequired && now >= c.pollAt {
 		c.pollEndpoints()
@@ -138,6 +148,12 @@
 	c.publishChanges(now, ordinary)
 }
 
+// scheduleTick sets the timer of the next tick.
+func (c *Controller) scheduleTick(now Microseconds) {
+	c.nextTickAt = now + tickInterval
+	c.host.SetTimer(tickInterval, c.timerTag())
+}
+
 // EndpointsUpdated handles an endpoint list: a complete one, or only the endpoints that changed.
 func (c *Controller) EndpointsUpdated(complete bool, endpoints []Endpoint) {
 	now := c.host.Now()
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -10,7 +10,8 @@
 //	table_content.go  which tables are empty although backends could be published in them
 //	publish.go        which table entries are published, and when
 //	sync.go           when a proxy that connects gets complete tables, or withdrawals until then
-//	pushqueue.go      how many lines may be queued for sending, and how many messages a proxy may get
+//	pushqueue.go      how many lines may be queued for sending
+//	message_budget.go how many messages a proxy may be sent, and which are left for required changes
 //	overload.go       the summary of load reports over the whole fleet
 //	admission.go      the limit on admitted requests under overload, and its division among classes
 //	retry.go          the retry policy that accompanies a limit
--- a/balancer/publish.go
+++ b/balancer/publish.go
@@ -25,7 +25,7 @@
 //     shorter, that quotient is the time that has to pass;
 //   - no more than nearlyEmptyShare of the push queue's capacity is queued, or all required changes
 //     fit into the rest of the capacity;
-//   - each proxy with assigned tables may be sent one more message (mayPush).
+//   - each proxy with assigned tables may be sent one more message (message_budget.go).
 //
 // The round then sends, in this order and as far as the push queue has capacity (pushqueue.go):
 //  1. required entries, subset by subset: first the subset that changes most, and within it the
@@ -80,6 +80,7 @@
 
 	changesDue     bool    // at least one entry or limit differs from its target
 	requiredLines  Lines   // cost of all required changes
+	awaited        bool    // at least one required change, apart from moves to a short subset, is pending
 	withdrawalsDue float64 // number of backends that are to be withdrawn or restored
 	// tablesReplaceWithdrawals is set if complete tables for all withdrawal receivers arrive in
 	// time and cost so little that withdrawals are not sent, see
@@ -95,15 +96,21 @@
 	c.updateKeptEntries(now, contents)
 	c.graceAtListing = c.computeGraceAtListing()
 	c.reserveForTables(now, map[int]float64{})
+	c.updateReserve()
 	plan := c.planPublication(now, contents)
+	c.noteRequired(plan)
 	delay := c.roundDelay(now, plan.requiredLines)
 	roundStarts := (ordinary || plan.requiredLines > 0) && delay == notDelayed
 	ordinaryWaits := ordinary && plan.changesDue && !c.pushQueue.nearlyEmpty()
 	requiredWaits := plan.requiredLines > 0 && c.pushQueue.queuedLines+plan.requiredLines > c.pushQueue.capacity()
 	c.queueCongested = !roundStarts && (ordinaryWaits || requiredWaits)
 	c.logRequiredChanges(plan, delay)
-	if roundStarts {
+	switch {
+	case roundStarts:
 		c.publishRound(plan)
+		c.noteRequired(c.planPublication(now, contents))
+	case c.requiredSince > 0 && delay == delayedByReserve:
+		c.awaitRequiredDeadline(now, plan.requiredLines)
 	}
 	c.logEmptyTables(now)
 	c.reconcileShards(now)
@@ -117,31 +124,36 @@
 	notDelayed        roundDelay = ""
 	delayedBySpacing  roundDelay = "the last round was sent too recently"
 	delayedByQueue    roundDelay = "the push queue has no capacity"
+	delayedByReserve  roundDelay = "the messages left for a proxy are kept for later required changes"
 	delayedByMessages roundDelay = "a proxy may be sent no more messages within the message window"
 )
 
-// logRequiredChanges logs why required changes wait, unless it is for the spacing of rounds alone,
-// and how long they have waited if the round that sends them starts too late for the drain grace.
-func (c *Controller) logRequiredChanges(plan *publication, delay roundDelay) {
-	if plan.requiredLines == 0 {
+// noteRequired notes from which time on required changes have been pending. A short subset does not
+// count: it may stay short for long, while no backend can be moved to it.
+func (c *Controller) noteRequired(plan *publication) {
+	switch {
+	case !plan.awaited:
 		c.requiredSince, c.loggedDelay = 0, notDelayed
-		return
+	case c.requiredSince == 0:
+		c.requiredSince = plan.now
 	}
+}
+
+// logRequiredChanges logs why required changes wait, unless it is for the spacing of rounds or for
+// later required changes, which they do in time, and how long they have waited if the round that sends them starts too late for the drain grace.
+func (c *Controller) logRequiredChanges(plan *publication, delay roundDelay) {
 	if c.requiredSince == 0 {
-		c.requiredSince = plan.now
+		return
 	}
 	waited := float64(plan.now-c.requiredSince) / float64(second)
 	allowed := float64(c.graceAtListing-c.pushQueue.MaxLatency) / float64(second)
 	switch {
 	case delay == notDelayed && waited > max(allowed, 0):
 		c.logf(-1, "required changes sent after %.2f s, %.2f s allowed", waited, allowed)
-	case delay != notDelayed && delay != delayedBySpacing && delay != c.loggedDelay:
+	case (delay == delayedByQueue || delay == delayedByMessages) && delay != c.loggedDelay:
 		c.logf(-1, "required changes wait: %s", delay)
 		c.loggedDelay = delay
 	}
-	if delay == notDelayed {
-		c.requiredSince, c.loggedDelay = 0, notDelayed
-	}
 }
 
 // mayPublish reports whether a round of changes may start now, with the given cost of required
@@ -158,16 +170,22 @@
 		queue.MessageWindow/int64(max(queue.MaxMessages, 1)))
 	tooSoon := queue.MaxMessages > 0 && now > c.changedAt && now-c.changedAt < interval
 	fits := required > 0 && queue.queuedLines+required <= queue.capacity()
-	messagesSpent := func(proxy *proxyState) bool {
-		return proxy.tablesAssigned && !queue.mayPush(proxy, now, required > 0)
+	urgency := ordinaryMessage
+	if required > 0 {
+		urgency = c.requiredUrgency(now, required)
+	}
+	mayNotPush := func(urgency messageUrgency) func(*proxyState) bool {
+		return func(proxy *proxyState) bool { return proxy.tablesAssigned && !queue.mayPush(proxy, now, urgency) }
 	}
 	switch {
 	case tooSoon:
 		return delayedBySpacing
 	case !queue.nearlyEmpty() && !fits:
 		return delayedByQueue
-	case slices.ContainsFunc(c.proxies, messagesSpent):
+	case slices.ContainsFunc(c.proxies, mayNotPush(overdueMessage)):
 		return delayedByMessages
+	case slices.ContainsFunc(c.proxies, mayNotPush(urgency)):
+		return delayedByReserve
 	default:
 		return notDelayed
 	}
@@ -188,10 +206,12 @@
 		c.tablesReplaceWithdrawals(tableCost, withdrawalCost, int(plan.withdrawalReceivers))
 	if plan.withdrawalsDue > 0 && !plan.tablesReplaceWithdrawals {
 		plan.requiredLines += plan.withdrawalsDue + plan.withdrawalReceivers*withdrawalCost
+		plan.awaited = true
 	}
 	// A lowered limit is required: requests that are admitted until it arrives lengthen the queues.
 	if c.admission.limitLowered {
 		plan.requiredLines += (plan.overhead + 1) * plan.connected
+		plan.awaited = true
 	}
 	return plan
 }
@@ -256,6 +276,7 @@
 		if c.changeRequired(plan, backend, target) {
 			plan.requiredLines += max(c.entryCost(plan, backend, target), 1)
 			c.chargeMessages(plan, backend, target)
+			plan.awaited = true
 		}
 		if backend.withdrawn != c.mustLeave(backend) {
 			plan.withdrawalsDue++
--- a/balancer/pushqueue.go
+++ b/balancer/pushqueue.go
@@ -1,7 +1,5 @@
 package balancer
 
-import "slices"
-
 // Push queue: an account of the lines that wait in the push channel to the proxies. A line counts
 // as queued until an ack for its batch, or for a later one, comes back, so that the account is
 // also correct when the channel is slow. The account is too high by the lines that the channel has
@@ -14,12 +12,8 @@
 //   - Ordinary changes, and complete tables, may fill ordinaryShare of the capacity, so that
 //     required changes never wait behind more ordinary lines than this share.
 //   - publish.go states when a round of changes may start, and in which order it is sent.
-//   - Of the messages that a proxy may be sent within the message window, ordinary messages use
-//     half. At a proxy for which other controllers reported the messages that they sent
-//     (proxyState.peersReportedMessages), ordinary messages use all except messagesForRequired. The
-//     messages that ordinary messages may not use are kept for required messages. Messages that
-//     hold only withdrawals (sync.go) count as required, both in this division of the messages and
-//     in the capacity.
+//   - Messages that hold only withdrawals (sync.go) count as required.
+//   - message_budget.go states how many messages a proxy may be sent.
 //
 // Inputs are PushChannel, the drain grace (microseconds) and the costs of the pushes (lines).
 
@@ -30,10 +24,6 @@
 	ordinaryShare = 1. / 2
 	// nearlyEmptyShare is the share of the capacity up to which the queue counts as nearly empty.
 	nearlyEmptyShare = 1. / 8
-	// messagesForRequired is the number of messages per proxy and message window that are kept for
-	// required messages, at a proxy for which proxyState.peersReportedMessages is set.
-	messagesForRequired = 2
-
 	// A batch times out if its ack has not arrived within the sum of PushChannel.MaxLatency,
 	// maxAckDelay and ackTimeoutFactor times the nominal sending time of the queue.
 	ackTimeoutFactor = 4
@@ -51,6 +41,13 @@
 	queuedLines Lines // number of lines in all batches together
 	lastNumber  int64 // number of the last batch
 
+	// reserveInterval is the time for each of which one message per proxy is left for required
+	// changes, see message_budget.go.
+	reserveInterval Microseconds
+	// spareMessages is the number of messages per proxy that a required message leaves in addition,
+	// unless it is sent at the deadline of required changes.
+	spareMessages int
+
 	// reservedLines is the cost of the tables of waiting proxies, see reserveForTables.
 	reservedLines Lines
 	// maxQueuedBeforeTables is the highest number of queued lines, including the reserved lines, with
@@ -170,11 +167,14 @@
 	return max(q.LinesPerSecond, 1) * float64(time) / float64(second)
 }
 
-// delay returns the time that the push channel takes to send the queued lines.
-func (q *pushQueue) delay() Microseconds {
-	return int64(q.queuedLines / max(q.LinesPerSecond, 1) * float64(second))
+// sendingTime returns the time that the push channel takes to send a number of lines.
+func (q *pushQueue) sendingTime(lines Lines) Microseconds {
+	return int64(lines / max(q.LinesPerSecond, 1) * float64(second))
 }
 
+// delay returns the time that the push channel takes to send the queued lines.
+func (q *pushQueue) delay() Microseconds { return q.sendingTime(q.queuedLines) }
+
 // hasCapacity reports whether a change of this cost may be queued now. If nothing is queued, a
 // change of any cost may be queued.
 func (q *pushQueue) hasCapacity(cost Lines, required bool) bool {
@@ -190,24 +190,3 @@
 func (q *pushQueue) wouldDelayTables(cost Lines) bool {
 	return q.reservedLines > 0 && q.queuedLines+cost+q.reservedLines > q.maxQueuedBeforeTables
 }
-
-// mayPush reports whether the limit on messages within the message window allows one more message
-// to a proxy, or whether the proxy is sent a message at this clock time anyway.
-func (q *pushQueue) mayPush(proxy *proxyState, now Microseconds, required bool) bool {
-	proxy.messageTimes = slices.DeleteFunc(proxy.messageTimes, func(at Microseconds) bool {
-		return at <= now-q.MessageWindow-q.MaxLatency
-	})
-	sent := len(proxy.messageTimes)
-	sharesMessage := sent > 0 && proxy.messageTimes[sent-1] == now
-	if q.MaxMessages == 0 || sharesMessage {
-		return true
-	}
-	allowed := q.MaxMessages / 2
-	if proxy.peersReportedMessages {
-		allowed = max(allowed, q.MaxMessages-messagesForRequired)
-	}
-	if required {
-		allowed = max(allowed, q.MaxMessages)
-	}
-	return sent < allowed
-}
--- a/balancer/sync.go
+++ b/balancer/sync.go
@@ -156,8 +156,12 @@
 func (c *Controller) tablesSendable(proxy *proxyState, tables fullTables, now Microseconds) bool {
 	wouldBeLate := !proxy.tablesAssigned && c.pushQueue.wouldDelayTables(0)
 	mayPrecedeChanges := !c.queueCongested || wouldBeLate
+	urgency := ordinaryMessage
+	if !proxy.tablesAssigned {
+		urgency = firstTablesMessage
+	}
 	return proxy.connected && !tables.anyEmpty && mayPrecedeChanges &&
-		c.pushQueue.hasCapacity(tables.cost, false) && c.pushQueue.mayPush(proxy, now, false)
+		c.pushQueue.hasCapacity(tables.cost, false) && c.pushQueue.mayPush(proxy, now, urgency)
 }
 
 // assignTables sends a proxy its tables.
@@ -196,7 +200,11 @@
 	proxy := c.proxies[id]
 	anyWithdrawals := proxy.mayHoldForeignWithdrawals || round.withdrawals > 0
 	hasCapacity := c.pushQueue.hasCapacity(round.withdrawalCost+round.reserve, true)
-	if !anyWithdrawals || !hasCapacity || !c.pushQueue.mayPush(proxy, round.now, true) {
+	urgency := requiredMessage
+	if c.overdue(proxy, round.now) {
+		urgency = overdueMessage
+	}
+	if !anyWithdrawals || !hasCapacity || !c.pushQueue.mayPush(proxy, round.now, urgency) {
 		return
 	}
 	if !c.host.SyncWithdrawals(id, noLimit, RetryIfNotExecuted) {
