ownership: the owner of a proxy that stays has the messages kept for others

Three owners a window were provided for, so a member of two had 4 of 12 messages, of which the balancer needs one for each longest wait of about a second. The log of such a play: "a proxy may be sent no more messages". Change: an owner whose proxy has not moved within the window has the shares of the owners before it too, less one that is kept for the next owner where that gives it more than the guaranteed messages. After a move an owner has what those before cannot have used. 12 messages, two members: 8 (4); 30 and three: 14 (9), 9 (9) after a move, and the guaranteed 4 (9) after two. A share is never negative. The model check of every order of events passes unchanged but for the quota that it asks, and still finds its four planted faults. Tests that named a count of messages name it by the new terms: what is left after one move is as before.

--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -115,7 +115,7 @@
 func (c *Controller) memberChannel(terms ownership.LeaseTerms) balancer.PushChannel {
 	channel := c.configuration.channel
 	if channel.MaxMessages > 0 {
-		channel.MaxMessages = terms.UnownedQuota() + terms.OwnerQuota()
+		channel.MaxMessages = terms.MemberQuota()
 	}
 	return channel
 }
--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -48,7 +48,7 @@
 	// class; nil if no member has reported it.
 	Demand []float64
 	// SentMessages is the number of messages that count as already written, out of those that one
-	// owner may write within LeaseTerms.MessageWindow: UnownedQuota and OwnerQuota together.
+	// owner may write within LeaseTerms.MessageWindow: LeaseTerms.MemberQuota.
 	SentMessages int
 }
 
@@ -164,7 +164,7 @@
 		state := c.proxies[proxy]
 		if state.granted && !state.owned && now-state.windowStart >= c.terms.MessageWindow {
 			state.windowStart = now
-			c.host.MessagesSentByPeers(proxy, c.terms.OwnerQuota()) // the member may write only the unowned quota
+			c.host.MessagesSentByPeers(proxy, c.terms.ownerQuotaAfter(0)) // the member may write only the unowned quota
 		}
 	}
 	for proxy, times := range c.grantTimes {
--- a/ownership/doc.go
+++ b/ownership/doc.go
@@ -61,9 +61,10 @@
 // # Messages
 //
 // The limit on messages to a proxy within a window is divided beforehand, so that members need not
-// agree on each message: every member has LeaseTerms.UnownedQuota, an owner has
-// LeaseTerms.OwnerQuota on top, and the limit has room for the owner quotas of the present owner
-// and of the two previous owners.
+// agree on each message: every member has LeaseTerms.UnownedQuota, and the rest is
+// divided into three shares of LeaseTerms.OwnerQuota. An owner has all of them, except one that is
+// kept for the next owner where that needs it. Once the proxy moves, later owners have what the
+// owners before them within the window cannot have used, but LeaseTerms.GuaranteedMessages at least.
 //
 // docs/shared.md describes the reasons and the alternatives.
 package ownership
--- a/ownership/grant.go
+++ b/ownership/grant.go
@@ -2,21 +2,17 @@
 
 import "slices"
 
-// grantByRecord grants a proxy whose claim is on the record. Owner quotas are reserved for
-// previousOwnersCounted moves within the message window. If the proxy has moved more often, this
-// member's owner quota counts as used.
+// grantByRecord grants a proxy whose claim is on the record. What previous owners may have written
+// within the message window counts as written.
 func (c *Coordinator) grantByRecord(move Move, now Microseconds) {
-	sentMessages := 0
-	if c.recentMoves(move.To.Moves, now) > previousOwnersCounted {
-		sentMessages = c.terms.OwnerQuota()
-	}
-	c.grant(move.Proxy, move, sentMessages, now)
+	moves := c.recentMoves(move.To.Moves, now)
+	c.grant(move.Proxy, move, c.terms.ownerQuotaAfter(0)-c.terms.ownerQuotaAfter(moves), now)
 }
 
 // grantWithoutQuorum grants a proxy whose content and previous owners are not known: the member may
 // write only the unowned quota, which every member has.
 func (c *Coordinator) grantWithoutQuorum(proxy int, now Microseconds) {
-	c.grant(proxy, Move{}, c.terms.OwnerQuota(), now)
+	c.grant(proxy, Move{}, c.terms.ownerQuotaAfter(0), now)
 }
 
 func (c *Coordinator) grant(proxy int, move Move, sentMessages int, now Microseconds) {
@@ -28,7 +24,7 @@
 	}
 	c.grantTimes[proxy] = append(c.grantTimes[proxy], now)
 	if c.recentMoves(move.To.Moves, now) <= maxMovesWithReserve {
-		maxSent := c.terms.UnownedQuota() + c.terms.OwnerQuota() - c.terms.GuaranteedMessages
+		maxSent := c.terms.MemberQuota() - c.terms.GuaranteedMessages
 		sentMessages = max(0, min(sentMessages, maxSent))
 	}
 	c.host.ProxyGranted(Grant{
--- a/ownership/model_test.go
+++ b/ownership/model_test.go
@@ -134,7 +134,7 @@
 func (member *modelMember) spendMessage() bool {
 	member.countedMessages = slices.DeleteFunc(member.countedMessages,
 		func(at int64) bool { return at <= member.state.now-modelTerms.MessageWindow })
-	if len(member.countedMessages) >= modelTerms.UnownedQuota()+modelTerms.OwnerQuota() {
+	if len(member.countedMessages) >= modelTerms.MemberQuota() {
 		return false
 	}
 	member.countedMessages = append(member.countedMessages, member.state.now)
--- a/ownership/proxies.go
+++ b/ownership/proxies.go
@@ -134,6 +134,6 @@
 	state.claimToken = 0
 	state.unclaimedSince = now
 	if state.granted {
-		c.host.MessagesSentByPeers(proxy, c.terms.OwnerQuota())
+		c.host.MessagesSentByPeers(proxy, c.terms.ownerQuotaAfter(0))
 	}
 }
--- a/ownership/terms.go
+++ b/ownership/terms.go
@@ -27,7 +27,7 @@
 
 // Limits for the division of the messages to a proxy.
 const (
-	// previousOwnersCounted is the number of previous owners within MessageWindow whose quotas fit
+	// previousOwnersCounted is the number of previous owners within MessageWindow whose shares fit
 	// into MaxMessages.
 	previousOwnersCounted = 2
 	// maxMovesWithReserve is the number of moves of a proxy within MessageWindow up to which an
@@ -41,9 +41,37 @@
 // one message.
 func (t LeaseTerms) UnownedQuota() int { return max(1, t.MaxMessages/2/max(t.Members, 1)-1) }
 
-// OwnerQuota returns the number of messages that an owner may write in addition to UnownedQuota.
-// The quotas of previous owners count until the window has passed. All quotas together stay within
-// MaxMessages.
+// OwnerQuota returns one owner's share of the messages that all unowned quotas leave. All unowned
+// quotas, and the shares of the present owner and of the previousOwnersCounted owners before it,
+// stay within MaxMessages.
 func (t LeaseTerms) OwnerQuota() int {
-	return (t.MaxMessages - t.Members*(t.UnownedQuota()+1)) / (previousOwnersCounted + 1)
+	return max(0, t.MaxMessages-t.Members*(t.UnownedQuota()+1)) / (previousOwnersCounted + 1)
+}
+
+// MemberQuota returns the number of messages that a member may write to a proxy within MessageWindow
+// at most. A proxy that stays with its owner has had no other owner within MessageWindow, so that its
+// owner also has the shares of the previous owners.
+func (t LeaseTerms) MemberQuota() int { return t.UnownedQuota() + t.ownerQuotaAfter(0) }
+
+// ownerQuotaAfter returns the number of messages that an owner may write in addition to UnownedQuota
+// if the proxy has moved the given number of times within MessageWindow. The first of these owners
+// may have written all that the proxy's owner may write if the proxy does not move.
+func (t LeaseTerms) ownerQuotaAfter(moves int) int {
+	switch moves {
+	case 0:
+		return (previousOwnersCounted+1)*t.OwnerQuota() - t.nextOwnerShare()
+	case 1:
+		return t.nextOwnerShare()
+	default:
+		return 0
+	}
+}
+
+// nextOwnerShare returns the share that is kept for the next owner of a proxy: none if it would have
+// no more messages by it than GuaranteedMessages.
+func (t LeaseTerms) nextOwnerShare() int {
+	if t.UnownedQuota()+t.OwnerQuota() <= t.GuaranteedMessages {
+		return 0
+	}
+	return t.OwnerQuota()
 }
