balancer: a proxy gets its tables although its zone has no backend

Seen in a test of the related paths: a proxy that connects while no backend of its zone is listed is assigned no table at all, so it has none for the shared classes either; and no withdrawals of other controllers are cleared at anybody while it waits. Change: a table to which no usable backend belongs is left out, and its classes are noted at the proxy, which is notified of withdrawals meanwhile. It gets that table once it has an entry. It works because only a table that is about to get entries can make a proxy wait now.

--- a/balancer/proxy.go
+++ b/balancer/proxy.go
@@ -12,6 +12,9 @@
 	// tablesAssigned is set once this controller has assigned its tables to the proxy. With sharding
 	// it is always set: such a proxy has no tables, and reads owners from the store of shards.
 	tablesAssigned bool
+	// missingClasses is the set of classes whose table was left out of the assigned tables, because no
+	// usable backend belongs to it: bit i is class i. The proxy keeps the tables that it has for them.
+	missingClasses uint16
 
 	// mayHoldForeignWithdrawals is set if the proxy may hold withdrawals of other controllers.
 	mayHoldForeignWithdrawals bool
@@ -40,6 +43,18 @@
 	peersReportedMessages bool
 }
 
+// hasAllTables reports whether this controller has assigned the proxy a table for each class.
+func (p *proxyState) hasAllTables() bool { return p.tablesAssigned && p.missingClasses == 0 }
+
+// unassignedClasses returns the classes out of all for which this controller has assigned the proxy no
+// table.
+func (p *proxyState) unassignedClasses(all uint16) uint16 {
+	if !p.tablesAssigned {
+		return all
+	}
+	return p.missingClasses
+}
+
 // firstEntryLiftsWithdrawal reports whether the proxy may avoid a backend until the backend's first
 // entry, which then costs one more line.
 func (p *proxyState) firstEntryLiftsWithdrawal() bool {
--- a/balancer/publish.go
+++ b/balancer/publish.go
@@ -86,6 +86,7 @@
 	// time and cost so little that withdrawals are not sent, see
 	// Controller.tablesReplaceWithdrawals.
 	tablesReplaceWithdrawals bool
+	tablesMissing            bool // at least one proxy keeps a table of another controller, see proxyState.missingClasses
 }
 
 // publishChanges publishes the differences from the published tables and limits, if a change is
@@ -202,7 +203,7 @@
 	c.sumRequired(plan)
 	tableCost := plan.overhead + float64(len(c.backends)/c.subsetCount)
 	withdrawalCost := plan.overhead + plan.withdrawalsDue
-	plan.tablesReplaceWithdrawals = plan.withdrawalReceivers > 0 && !c.sharding.enabled() &&
+	plan.tablesReplaceWithdrawals = plan.withdrawalReceivers > 0 && !c.sharding.enabled() && !plan.tablesMissing &&
 		c.tablesReplaceWithdrawals(tableCost, withdrawalCost, int(plan.withdrawalReceivers))
 	if plan.withdrawalsDue > 0 && !plan.tablesReplaceWithdrawals {
 		plan.requiredLines += plan.withdrawalsDue + plan.withdrawalReceivers*withdrawalCost
@@ -231,6 +232,7 @@
 			if c.receivesWithdrawals(proxy) {
 				plan.withdrawalReceivers++
 			}
+			plan.tablesMissing = plan.tablesMissing || proxy.missingClasses != 0
 		}
 	}
 }
@@ -239,7 +241,7 @@
 // the table of a zone without a backend, so such a table is left out.
 func (plan *publication) countTables(c *Controller, proxy *proxyState) {
 	for _, table := range []int{proxy.subset, c.zoneTable(proxy.zone)} {
-		if table >= len(plan.proxiesByTable) {
+		if table >= len(plan.proxiesByTable) || !c.usesTable(proxy, table) {
 			continue
 		}
 		plan.proxiesByTable[table]++
@@ -253,7 +255,7 @@
 // do not give it: backends from another controller's tables, or owners that it reads from the store
 // of shards.
 func (c *Controller) receivesWithdrawals(proxy *proxyState) bool {
-	return !proxy.tablesAssigned || c.sharding.enabled()
+	return !proxy.hasAllTables() || c.sharding.enabled()
 }
 
 // sumRequired sums the costs of required entry changes, and counts the withdrawals that are due.
@@ -487,9 +489,7 @@
 // publishEntry publishes a backend's entry in one table, and charges each proxy that uses the
 // table.
 func (c *Controller) publishEntry(backend *backendState, table int, weight float64, isFirstEntry bool) {
-	usesTable := func(proxy *proxyState) bool {
-		return proxy.tablesAssigned && (table == proxy.subset || table == c.zoneTable(proxy.zone))
-	}
+	usesTable := func(proxy *proxyState) bool { return c.usesTable(proxy, table) }
 	c.host.PublishEntry(table, backend.Backend, weight)
 	c.chargeEach(1, usesTable)
 	c.chargeEach(1, func(proxy *proxyState) bool {
@@ -497,6 +497,20 @@
 	})
 }
 
+// usesTable reports whether a proxy was assigned a table: that of its subset or of its zone.
+func (c *Controller) usesTable(proxy *proxyState, table int) bool {
+	switch {
+	case !proxy.tablesAssigned:
+		return false
+	case table == proxy.subset:
+		return proxy.missingClasses&c.sharedClasses == 0
+	case table == c.zoneTable(proxy.zone):
+		return proxy.missingClasses&c.zoneLocalClasses == 0
+	default:
+		return false
+	}
+}
+
 // publishWithdrawals withdraws backends that proxies must stop using, or restores backends, at the
 // proxies for which receivesWithdrawals is true. A backend is withdrawn only once it has no entry:
 // before that, the withdrawal would cost each proxy with assigned tables a line too.
@@ -516,7 +530,7 @@
 		backend.withdrawn = withdrawn
 		c.host.Withdraw(id, withdrawn)
 		for _, proxy := range c.proxies {
-			if proxy.connected && !proxy.tablesAssigned {
+			if proxy.connected && !proxy.hasAllTables() {
 				proxy.heldWithdrawals++
 			}
 		}
--- a/balancer/subset.go
+++ b/balancer/subset.go
@@ -209,6 +209,16 @@
 	return weights.subset
 }
 
+// allClasses returns the set of all classes.
+func (c *Controller) allClasses() uint16 { return c.sharedClasses | c.zoneLocalClasses }
+
+// anyUsable reports whether a usable backend belongs to a table.
+func (c *Controller) anyUsable(table int) bool {
+	return slices.ContainsFunc(c.backends, func(backend *backendState) bool {
+		return c.usable(backend) && c.inTable(backend, table)
+	})
+}
+
 // tableSize returns the number of entries of a table.
 func (c *Controller) tableSize(table int) (entries int) {
 	for _, backend := range c.backends {
--- a/balancer/sync.go
+++ b/balancer/sync.go
@@ -17,6 +17,10 @@
 // sent before tables, unless tables would then arrive later than tablesShareOfGrace of the drain
 // grace after the connection.
 //
+// A table that has no entry, as no usable backend belongs to it, is left out: the proxy gets its other
+// tables, and this one once it has an entry. For the classes of that table the proxy keeps the tables
+// that it has, and is notified of withdrawals.
+//
 // A proxy whose tables cannot be sent yet gets a withdrawals message, once, only if
 //   - one of its tables is empty, so that its tables cannot be sent, or its tables cost at least
 //     tableCostWorthMessage times as much as the message;
@@ -103,7 +107,7 @@
 	}
 	c.syncQueue = slices.DeleteFunc(c.syncQueue, func(id int) bool {
 		proxy := c.proxies[id]
-		complete := proxy.tablesAssigned && proxy.withdrawalsCleared == proxy.mayHoldForeignWithdrawals
+		complete := proxy.hasAllTables() && proxy.withdrawalsCleared == proxy.mayHoldForeignWithdrawals
 		return !proxy.connected || complete
 	})
 	if round.assigned > 0 && round.waiting == round.assigned {
@@ -111,9 +115,12 @@
 	}
 }
 
-// waitsForTables reports whether a proxy waits for the tables of this controller.
+// waitsForTables reports whether a proxy waits for tables of this controller that can be assigned.
 func (c *Controller) waitsForTables(proxy *proxyState) bool {
-	return proxy.connected && !proxy.tablesAssigned
+	if !proxy.connected || proxy.hasAllTables() {
+		return false
+	}
+	return !proxy.tablesAssigned || !c.fullTablesOf(proxy, proxy.missingClasses, map[int]float64{}).noneAvailable
 }
 
 // overdue reports whether more than half the drain grace has passed since a proxy connected.
@@ -135,17 +142,24 @@
 // assigns tables, clears the withdrawals of other controllers, or sends a withdrawals message.
 func (c *Controller) syncProxy(id int, round *syncRound, overdue bool) {
 	proxy := c.proxies[id]
-	tables := c.fullTablesOf(proxy, round.tableSizes)
+	unassigned := proxy.unassignedClasses(c.allClasses())
+	tables := c.fullTablesOf(proxy, unassigned, round.tableSizes)
+	assignable := unassigned != 0 && !tables.noneAvailable
+	if !assignable {
+		tables = c.fullTablesOf(proxy, c.allClasses()&^unassigned, round.tableSizes)
+	}
+	tables.anyEmpty = tables.anyEmpty || tables.noneAvailable
 	tablesSendable := c.tablesSendable(proxy, tables, round.now)
+	tables.someMissing = proxy.tablesAssigned && unassigned != 0 && !assignable
 	switch {
-	case tablesSendable && !proxy.tablesAssigned:
-		c.assignTables(id, tables)
+	case tablesSendable && assignable:
+		c.assignTables(id, unassigned, tables)
 		round.assigned++
 	case tablesSendable && c.mayClearWithdrawals(proxy, tables, round):
 		proxy.withdrawalsCleared = true
 		c.charge(proxy, tables.entries)
 		c.host.ClearWithdrawals(id)
-	case !proxy.tablesAssigned && !proxy.withdrawalsSynced && c.withdrawalMessageWorthwhile(tables, round, overdue):
+	case unassigned != 0 && !proxy.withdrawalsSynced && c.withdrawalMessageWorthwhile(tables, round, overdue):
 		c.syncWithdrawals(id, round)
 	}
 }
@@ -157,22 +171,25 @@
 	wouldBeLate := !proxy.tablesAssigned && c.pushQueue.wouldDelayTables(0)
 	mayPrecedeChanges := !c.queueCongested || wouldBeLate
 	urgency := ordinaryMessage
-	if !proxy.tablesAssigned {
+	if !proxy.hasAllTables() {
 		urgency = firstTablesMessage
 	}
 	return proxy.connected && !tables.anyEmpty && mayPrecedeChanges &&
 		c.pushQueue.hasCapacity(tables.cost, false) && c.pushQueue.mayPush(proxy, now, urgency)
 }
 
-// assignTables sends a proxy its tables.
-func (c *Controller) assignTables(id int, tables fullTables) {
+// assignTables sends a proxy its tables for a set of classes, except those that are unavailable.
+func (c *Controller) assignTables(id int, classes uint16, tables fullTables) {
 	proxy := c.proxies[id]
 	proxy.tablesAssigned = true
+	proxy.missingClasses = tables.unavailable
 	c.pushQueue.reservedLines -= tables.cost
 	withdrawalLines := min(proxy.heldWithdrawals, tables.entries)
 	c.charge(proxy, 1+tables.cost-c.pushQueue.messageOverhead()+withdrawalLines)
-	c.eachTable(proxy.subset, proxy.zone, func(table int, classes uint16) {
-		c.host.AssignTable(table, id, classes)
+	c.eachTable(proxy.subset, proxy.zone, func(table int, tableClasses uint16) {
+		if tableClasses&classes&^tables.unavailable != 0 {
+			c.host.AssignTable(table, id, tableClasses)
+		}
 	})
 }
 
@@ -187,8 +204,8 @@
 // message of its own: its tables cost much more or cannot be sent, and either the proxy has waited
 // for long, or its tables do not arrive soon and no changes wait for the channel.
 func (c *Controller) withdrawalMessageWorthwhile(tables fullTables, round *syncRound, overdue bool) bool {
-	messageCheaper := tables.anyEmpty || tableCostWorthMessage*round.withdrawalCost <= tables.cost
-	tablesComeSoon := c.tablesReplaceWithdrawals(tables.cost, round.withdrawalCost, round.waiting)
+	messageCheaper := tables.anyEmpty || tables.someMissing || tableCostWorthMessage*round.withdrawalCost <= tables.cost
+	tablesComeSoon := !tables.someMissing && c.tablesReplaceWithdrawals(tables.cost, round.withdrawalCost, round.waiting)
 	mayWait := c.queueCongested || tablesComeSoon
 	return messageCheaper && (overdue || !mayWait)
 }
@@ -233,24 +250,38 @@
 	return withdrawals, c.pushQueue.messageOverhead() + withdrawals + float64(len(c.classes))
 }
 
-// fullTables holds the total number of entries and the total cost of a proxy's complete tables, and
-// whether any of these tables is empty.
+// fullTables holds the total number of entries and the total cost of some or all of a proxy's complete
+// tables.
 type fullTables struct {
 	entries  float64 // number of entries of all the tables
 	cost     Lines   // cost of the tables, including the overhead of their message and the limits
-	anyEmpty bool    // one of the tables has no entry
+	anyEmpty bool    // one of the tables has no entry, although a usable backend belongs to it
+	// unavailable is the set of classes whose table has no entry and no usable backend. Such a table
+	// is left out of the other fields, so that the proxy need not wait for it.
+	unavailable   uint16
+	noneAvailable bool // all of the tables are unavailable
+	someMissing   bool // the proxy was assigned tables, but some were unavailable, and still are
 }
 
-// fullTablesOf sums the sizes and costs of a proxy's tables. The sizes map caches the number of
-// entries of each table.
-func (c *Controller) fullTablesOf(proxy *proxyState, sizes map[int]float64) (tables fullTables) {
+// fullTablesOf sums the sizes and costs of a proxy's tables for a set of classes. The sizes map caches
+// the number of entries of each table.
+func (c *Controller) fullTablesOf(proxy *proxyState, classes uint16, sizes map[int]float64) (tables fullTables) {
 	tables.cost = c.pushQueue.messageOverhead() + c.tableLimitLines()
-	c.eachTable(proxy.subset, proxy.zone, func(table int, _ uint16) {
+	tables.noneAvailable = true
+	c.eachTable(proxy.subset, proxy.zone, func(table int, tableClasses uint16) {
+		if tableClasses&classes == 0 {
+			return
+		}
 		size, known := sizes[table]
 		if !known {
 			size = float64(c.tableSize(table))
 			sizes[table] = size
 		}
+		if size == 0 && !c.anyUsable(table) {
+			tables.unavailable |= tableClasses
+			return
+		}
+		tables.noneAvailable = false
 		tables.entries += size
 		tables.cost += size
 		tables.cost++ // the assignment of the table costs one line
@@ -281,8 +312,8 @@
 		if !c.waitsForTables(proxy) {
 			continue
 		}
-		tables := c.fullTablesOf(proxy, sizes)
-		if tables.anyEmpty {
+		tables := c.fullTablesOf(proxy, proxy.unassignedClasses(c.allClasses()), sizes)
+		if tables.anyEmpty || tables.noneAvailable {
 			continue
 		}
 		queue.reservedLines += tables.cost
--- a/balancer/table_content_test.go
+++ b/balancer/table_content_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -208,3 +209,34 @@
 	host.run(30, func() { host.reportHealthy() })
 	host.expectLog("panic mode false in table of zone 0, 2 backends usable")
 }
+
+func TestProxyOfZoneWithoutBackends(t *testing.T) {
+	// Guards against proxies that are kept from the shared table while the list has no backend of
+	// their zone, for which only a zone-local class needs one: they had no backend for any class.
+	host := startZones(t, defaultSettings(), 2, 3)
+	host.updateEndpoints(0, 2, Removed, 0)
+	host.run(1, nil)
+	host.controller.ProxyConnected(4, 0, 10, true)
+	host.controller.ProxyConnected(5, 1, 10, true)
+	host.run(1, nil)
+	if !host.assigned["4 0 2"] || host.assigned["4 1 1"] || !host.assigned["5 2 1"] {
+		t.Fatalf("assigned tables are %v, want only the shared one for proxy 4, and both for proxy 5", host.assigned)
+	}
+	if !slices.ContainsFunc(host.effects, func(effect string) bool { return strings.HasSuffix(effect, "sync 4") }) {
+		t.Error("proxy 4 was not notified of withdrawals, although it keeps a table of its zone")
+	}
+	for p := 4; p <= 5; p++ {
+		if !host.controller.proxies[p].withdrawalsCleared {
+			t.Errorf("withdrawals of other controllers are not cleared at proxy %d", p)
+		}
+	}
+	queuedBefore := host.controller.pushQueue.queuedLines
+	host.controller.EndpointsUpdated(false, []Endpoint{{Backend: 5, State: Ready, Weight: 2}})
+	host.run(0.5, nil)
+	if !host.assigned["4 1 1"] {
+		t.Errorf("assigned tables are %v, want that of zone 0 for proxy 4 once it has a backend", host.assigned)
+	}
+	if host.controller.pushQueue.queuedLines != queuedBefore || len(host.controller.syncQueue) > 0 {
+		t.Errorf("%.0f lines are queued, proxies %v wait", host.controller.pushQueue.queuedLines, host.controller.syncQueue)
+	}
+}
