balancer: the plan of a round and its delay in files of their own

Change: publication.go has the plan and its costs, round_delay.go the conditions under which a round starts and the log of what waits; publish.go sends.

--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -7,8 +7,10 @@
 //	outlier.go        which backends are ejected, and when they are readmitted
 //	weight.go         the share of its listed weight that a backend gets: warm-up, slow start, lagging
 //	subset.go         the number of subsets, and the subset of each backend
-//	table_content.go  which tables are empty although backends could be published in them
+//	table_content.go  which backends a table keeps although they are ejected or withheld
 //	publish.go        which table entries are published, and when
+//	publication.go    what a round of changes would send, and what it costs
+//	round_delay.go    when a round of changes may start
 //	sync.go           when a proxy that connects gets complete tables, or withdrawals until then
 //	pushqueue.go      how many lines may be queued for sending
 //	message_budget.go how many messages a proxy may be sent, and which are left for required changes
