balancer: messages of other controllers keep the order of a proxy's message times

Cause: MessagesSentByPeers put them, dated just now, before the older ones of a connected proxy. The count of messages that leave the window, new with, reads the times in order, so that older messages behind them counted as long as they did, and required changes waited for their deadline without need. Change: the times are sorted.

--- a/balancer/controller.go
+++ b/balancer/controller.go
@@ -361,7 +361,8 @@
 	at := c.host.Now() - 1
 	times := slices.Repeat([]Microseconds{at}, messages)
 	if proxy.connected {
-		proxy.messageTimes = append(times, proxy.messageTimes...)
+		proxy.messageTimes = append(proxy.messageTimes, times...)
+		slices.Sort(proxy.messageTimes)
 	} else {
 		proxy.peerMessageTimes = times
 	}
--- a/balancer/proxy.go
+++ b/balancer/proxy.go
@@ -32,7 +32,8 @@
 	// acknowledged is the number of the latest push batch that the proxy has acknowledged. The proxy
 	// has received all batches up to this number.
 	acknowledged int64
-	// messageTimes holds the times of the messages to the proxy within the message window.
+	// messageTimes holds the times of the messages to the proxy within the message window, in increasing
+	// order.
 	messageTimes []Microseconds
 	// peerMessageTimes holds the times of other controllers' messages to a proxy that is not
 	// connected. They become its first messageTimes when it connects.
