balancer: count the backends of a table once for all proxies that wait

Cause: a proxy that waits for the table of a zone without backends is looked at with each ack, and each time all backends were searched for a usable one, though sizes of tables were counted once a pass. Change: the size of a table says whether a usable backend belongs to it, and is kept for the pass; the type of the cache has a name. Comments of message_budget.go and table_content.go are wrapped and completed.

--- a/balancer/message_budget.go
+++ b/balancer/message_budget.go
@@ -7,11 +7,11 @@
 //
 // Whatever is sent to a proxy must leave enough messages for required changes that are reported at
 // any later time, for as long as the messages sent so far count. A required change may wait here
-// until its deadline: the drain grace after it was reported, less PushChannel.MaxLatency, the
-// time that the push channel takes to send it, and deadlineMargin. All required changes that are reported meanwhile are
-// sent with it, so that required changes need one message in each reserve interval at the most. The
-// reserve interval is the longest such wait or, if the allowed messages do not suffice for that, the
-// time in which the window can always bear one more message.
+// until its deadline: the drain grace after it was reported, less PushChannel.MaxLatency, the time
+// that the push channel takes to send it, and deadlineMargin. All required changes that are reported
+// meanwhile are sent with it, so that required changes need one message in each reserve interval at
+// the most. The reserve interval is the longest such wait or, if the allowed messages do not suffice
+// for that, the time in which the window can always bear one more message.
 //   - An overdue message, which is sent at the deadline of a required change, may use every message
 //     that the limit allows.
 //   - Any other message leaves one message for each reserve interval that follows. If the allowed
--- a/balancer/publish.go
+++ b/balancer/publish.go
@@ -45,7 +45,7 @@
 	contents := c.tableContents(now)
 	c.updateKeptEntries(now, contents)
 	c.graceAtListing = c.computeGraceAtListing()
-	c.reserveForTables(now, map[int]float64{})
+	c.reserveForTables(now, tableSizes{})
 	c.updateReserve()
 	plan := c.planPublication(now, contents)
 	c.noteRequired(plan)
--- a/balancer/subset.go
+++ b/balancer/subset.go
@@ -212,19 +212,22 @@
 // allClasses returns the set of all classes.
 func (c *Controller) allClasses() uint16 { return c.sharedClasses | c.zoneLocalClasses }
 
-// anyUsable reports whether a usable backend belongs to a table.
-func (c *Controller) anyUsable(table int) bool {
-	return slices.ContainsFunc(c.backends, func(backend *backendState) bool {
-		return c.usable(backend) && c.inTable(backend, table)
-	})
+// tableSize is the size of one table.
+type tableSize struct {
+	entries   int  // number of entries
+	anyUsable bool // a usable backend belongs to the table, whether it has an entry or not
 }
 
-// tableSize returns the number of entries of a table.
-func (c *Controller) tableSize(table int) (entries int) {
+// tableSize returns the size of a table.
+func (c *Controller) tableSize(table int) (size tableSize) {
 	for _, backend := range c.backends {
-		if c.inTable(backend, table) && c.weightIn(backend.published, table) > 0 {
-			entries++
+		if !c.inTable(backend, table) {
+			continue
+		}
+		size.anyUsable = size.anyUsable || c.usable(backend)
+		if c.weightIn(backend.published, table) > 0 {
+			size.entries++
 		}
 	}
-	return entries
+	return size
 }
--- a/balancer/sync.go
+++ b/balancer/sync.go
@@ -59,12 +59,12 @@
 // syncRound is one pass over the waiting proxies. It is valid for one call of syncProxies.
 type syncRound struct {
 	now            Microseconds
-	withdrawals    float64         // number of withdrawals in force
-	withdrawalCost Lines           // cost of a message with all withdrawals in force
-	reserve        Lines           // capacity of the push queue that is kept free for changes that cannot wait
-	waiting        int             // number of connected proxies without assigned tables at the start of the pass
-	assigned       int             // number of proxies that were assigned tables in this pass
-	tableSizes     map[int]float64 // number of entries by table, for the tables counted so far
+	withdrawals    float64    // number of withdrawals in force
+	withdrawalCost Lines      // cost of a message with all withdrawals in force
+	reserve        Lines      // capacity of the push queue that is kept free for changes that cannot wait
+	waiting        int        // number of connected proxies without assigned tables at the start of the pass
+	assigned       int        // number of proxies that were assigned tables in this pass
+	tableSizes     tableSizes // sizes of the tables counted so far
 }
 
 // enqueueForSync adds a proxy to the proxies that wait for tables, at its position in the order of
@@ -89,14 +89,14 @@
 	if len(c.syncQueue) == 0 {
 		return
 	}
-	round := &syncRound{now: now, reserve: c.pushQueue.capacity() * syncReserveShare, tableSizes: map[int]float64{}}
+	round := &syncRound{now: now, reserve: c.pushQueue.capacity() * syncReserveShare, tableSizes: tableSizes{}}
 	round.withdrawals, round.withdrawalCost = c.withdrawalCost()
 	tableFits := c.pushQueue.hasCapacity(c.pushQueue.messageOverhead(), false)
 	messageFits := c.pushQueue.hasCapacity(round.withdrawalCost+round.reserve, true)
 	if !tableFits && !messageFits {
 		return // skip the pass over all waiting proxies: there may be thousands, and each ack calls syncProxies
 	}
-	round.waiting = c.countWaitingForTables()
+	round.waiting = c.countWaitingForTables(round.tableSizes)
 	c.reserveForTables(now, round.tableSizes)
 	for _, overdue := range []bool{true, false} {
 		for _, id := range c.syncQueue {
@@ -116,11 +116,11 @@
 }
 
 // waitsForTables reports whether a proxy waits for tables of this controller that can be assigned.
-func (c *Controller) waitsForTables(proxy *proxyState) bool {
+func (c *Controller) waitsForTables(proxy *proxyState, sizes tableSizes) bool {
 	if !proxy.connected || proxy.hasAllTables() {
 		return false
 	}
-	return !proxy.tablesAssigned || !c.fullTablesOf(proxy, proxy.missingClasses, map[int]float64{}).noneAvailable
+	return !proxy.tablesAssigned || !c.fullTablesOf(proxy, proxy.missingClasses, sizes).noneAvailable
 }
 
 // overdue reports whether more than half the drain grace has passed since a proxy connected.
@@ -129,9 +129,9 @@
 }
 
 // countWaitingForTables counts the proxies that wait for tables.
-func (c *Controller) countWaitingForTables() (waiting int) {
+func (c *Controller) countWaitingForTables(sizes tableSizes) (waiting int) {
 	for _, id := range c.syncQueue {
-		if c.waitsForTables(c.proxies[id]) {
+		if c.waitsForTables(c.proxies[id], sizes) {
 			waiting++
 		}
 	}
@@ -250,6 +250,9 @@
 	return withdrawals, c.pushQueue.messageOverhead() + withdrawals + float64(len(c.classes))
 }
 
+// tableSizes holds the sizes of the tables counted so far, by table index.
+type tableSizes map[int]tableSize
+
 // fullTables holds the total number of entries and the total cost of some or all of a proxy's complete
 // tables.
 type fullTables struct {
@@ -263,9 +266,9 @@
 	someMissing   bool // the proxy was assigned tables, but some were unavailable, and still are
 }
 
-// fullTablesOf sums the sizes and costs of a proxy's tables for a set of classes. The sizes map caches
-// the number of entries of each table.
-func (c *Controller) fullTablesOf(proxy *proxyState, classes uint16, sizes map[int]float64) (tables fullTables) {
+// fullTablesOf sums the sizes and costs of a proxy's tables for a set of classes. It adds the
+// sizes of tables that it counts to sizes.
+func (c *Controller) fullTablesOf(proxy *proxyState, classes uint16, sizes tableSizes) (tables fullTables) {
 	tables.cost = c.pushQueue.messageOverhead() + c.tableLimitLines()
 	tables.noneAvailable = true
 	c.eachTable(proxy.subset, proxy.zone, func(table int, tableClasses uint16) {
@@ -274,18 +277,18 @@
 		}
 		size, known := sizes[table]
 		if !known {
-			size = float64(c.tableSize(table))
+			size = c.tableSize(table)
 			sizes[table] = size
 		}
-		if size == 0 && !c.anyUsable(table) {
+		if size.entries == 0 && !size.anyUsable {
 			tables.unavailable |= tableClasses
 			return
 		}
 		tables.noneAvailable = false
-		tables.entries += size
-		tables.cost += size
+		tables.entries += float64(size.entries)
+		tables.cost += float64(size.entries)
 		tables.cost++ // the assignment of the table costs one line
-		tables.anyEmpty = tables.anyEmpty || size == 0
+		tables.anyEmpty = tables.anyEmpty || size.entries == 0
 	})
 	return tables
 }
@@ -303,13 +306,13 @@
 // be queued for the most urgent of these proxies to have its tables in time. Withdrawals cannot
 // replace these tables: this controller may not know a backend that was removed before it started,
 // and cannot withdraw that backend, whereas complete tables omit it.
-func (c *Controller) reserveForTables(now Microseconds, sizes map[int]float64) {
+func (c *Controller) reserveForTables(now Microseconds, sizes tableSizes) {
 	queue := &c.pushQueue
 	queue.reservedLines = 0
 	queue.maxQueuedBeforeTables = math.Inf(1)
 	for _, id := range c.syncQueue {
 		proxy := c.proxies[id]
-		if !c.waitsForTables(proxy) {
+		if !c.waitsForTables(proxy, sizes) {
 			continue
 		}
 		tables := c.fullTablesOf(proxy, proxy.unassignedClasses(c.allClasses()), sizes)
--- a/balancer/table_content.go
+++ b/balancer/table_content.go
@@ -13,8 +13,8 @@
 //   - if no usable backend of a table qualifies, that is if each one is ejected or withheld, the
 //     table has them all (panic mode). The table of a subset, which can be given backends of other
 //     subsets (subset.go), has them all only if no usable backend of the whole fleet qualifies.
-//     Otherwise it keeps the entries of ejected backends until then, or gets them back if it has no
-//     entry at all;
+//     Otherwise it keeps the entries of ejected backends until it is given others, or gets them back
+//     if it has no entry at all;
 //   - a zone's table keeps at least 1-maxEjectedShare of the listed weight of its usable backends,
 //     where a backend that is warming up or in its slow start counts with the share that it can
 //     carry. Otherwise it keeps ejected backends too: first those that answered the largest share
