--- /dev/null
+++ b/review/stand-ins-2/budget.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+)
+
+// release: fourteen of twenty-four backends are replaced within seven seconds. With SHARING=0 the same
+// controllers do not share their proxies.
+func release(l *lab) {
+	w := newWorld(l)
+	s := newSite(l, w)
+	defer s.end()
+	zones := []string{"a", "b", "c"}
+	const proxies = 12
+	var entries []backend
+	for i := range 24 {
+		entries = append(entries, backend{ID: fmt.Sprintf("s-%02d", i), Zone: zones[i%3], State: "up"})
+	}
+	w.set(entries...)
+	for i := range 3 {
+		l.addController(fmt.Sprint("n", i), w, muscatSettings(zones, false, proxies))
+	}
+	sharing := os.Getenv("SHARING") != "0"
+	if sharing {
+		l.share()
+	}
+	for _, c := range l.controllers {
+		c.start()
+	}
+	for _, c := range l.controllers {
+		c.awaitAlive()
+	}
+	if sharing {
+		l.awaitQuorum()
+	}
+	for i := range proxies {
+		s.proxies = append(s.proxies, newProxy(l, w, i, zones[i%3], classNames, false, muscatDelay))
+	}
+	s.rejoin(func(p *proxy) int { return p.number }, true, func() time.Duration { return time.Duration(100+rand.IntN(2400)) * time.Millisecond })
+	s.collect(zones, time.Second)
+	s.serve(13, s.checkDrain(1800*time.Millisecond, func(*controller, *proxy) bool { return true }))
+	time.Sleep(14 * time.Second)
+	if l.trouble {
+		for i := range 14 {
+			s.replace(i)
+			time.Sleep(500 * time.Millisecond)
+		}
+	}
+	time.Sleep(8 * time.Second)
+}
