--- a/review/stand-ins-2/backlog.go
+++ b/review/stand-ins-2/backlog.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"time"
 )
 
@@ -25,8 +24,8 @@
 		s.proxies = append(s.proxies, newProxy(l, w, i, zones[i%2], classNames, false, santiagoDelay))
 	}
 	c.channel.check = true
-	s.rejoin(func(*proxy) int { return 0 }, true, func() time.Duration { return time.Duration(550+rand.IntN(1900)) * time.Millisecond })
-	s.collect(zones, time.Second)
+	s.rejoin(func(*proxy) int { return 0 }, true, santiagoRedial)
+	s.collect(zones, 2*time.Second)
 	s.serve(8, func(*proxy, string, string, time.Time) {})
 	time.Sleep(20 * time.Second)
 	if l.trouble {
--- a/review/stand-ins-2/coldout.go
+++ b/review/stand-ins-2/coldout.go
@@ -72,7 +72,7 @@
 		s.proxies = append(s.proxies, newProxy(l, w, i, zones[i/3], classNames, true, santiagoDelay))
 	}
 	s.rejoin(func(*proxy) int { return 0 }, true, func() time.Duration { return time.Duration(900+rand.IntN(1000)) * time.Millisecond })
-	s.collect(zones, time.Second)
+	s.collect(zones, 2*time.Second)
 	s.serve(12, func(*proxy, string, string, time.Time) {})
 	time.Sleep(5 * time.Second)
 	end := time.Now().Add(39 * time.Second)
--- a/review/stand-ins-2/coldzone.go
+++ b/review/stand-ins-2/coldzone.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -88,8 +87,8 @@
 	}
 	cold := &coldBackends{lab: l, capacity: 100, share: 0.16, warmup: 17 * time.Second, window: 2300 * time.Millisecond, multiple: 3,
 		started: map[string]time.Time{}, came: map[string][]time.Time{}, fallen: map[string]bool{}}
-	s.rejoin(func(*proxy) int { return 0 }, true, func() time.Duration { return time.Duration(550+rand.IntN(1900)) * time.Millisecond })
-	s.collect(zones, time.Second)
+	s.rejoin(func(*proxy) int { return 0 }, true, santiagoRedial)
+	s.collect(zones, 2*time.Second)
 	s.serve(45, func(p *proxy, class, id string, at time.Time) { cold.sent(id, at) })
 	time.Sleep(15 * time.Second)
 	set := func(state string, started int64) {
--- a/review/stand-ins-2/flap.go
+++ b/review/stand-ins-2/flap.go
@@ -19,7 +19,7 @@
 		s.proxies = append(s.proxies, newProxy(l, w, i, zones[i%3], classNames, false, santiagoDelay))
 	}
 	s.rejoin(func(p *proxy) int { return p.number }, false, func() time.Duration { return time.Duration(550+rand.IntN(200)) * time.Millisecond })
-	s.collect(zones, time.Second)
+	s.collect(zones, 2*time.Second)
 	s.serve(20, s.checkDrain(3300*time.Millisecond, func(_ *controller, p *proxy) bool { return p.number != 0 }))
 	time.Sleep(14 * time.Second)
 	for i := range 2 {
--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -12,8 +12,8 @@
 
 // cases holds how each case is played. Those of the second line are trials that the report names, and no cases.
 var cases = map[string]func(*lab){
-	"cold-zone": coldZone, "cold-out": coldOut, "flap": flappingStream, "release": release, "stall": leaseAndGrace,
-	"fence": fenceAfterRestart, "voters": voterRestarts, "messages": messagesWithoutTables, "backlog": backlogWithLimits,
+	"cold-zone": coldZone, "cold-out": coldOut, "twice": appliedTwice, "empty": emptyChange, "shrink": shrink,
+	"fence": fenceAfterRestart, "flap": flappingStream, "stall": leaseAndGrace, "voters": voterRestarts, "messages": messagesWithoutTables, "backlog": backlogWithLimits,
 }
 
 func main() {
@@ -102,12 +102,12 @@
 	}
 }
 
-// settings returns the settings of a small deployment; changes replace some of them, by path within the
+// settings returns the settings of a small deployment, in most with the figures of santiago-enlace; changes replace some of them, by path within the
 // groups.
 func settings(zones []string, local bool, proxies int, info, rules map[string]any) map[string]any {
 	family := map[string]any{
 		"admission": "per_second", "backlog": 900.0, "egressPerS": 900.0, "overhead": 4.0, "pushDelayMax": 660.0,
-		"propagation": 265.0, "reportEvery": 1000.0, "messagesMost": 30, "messagesOver": 10000.0, "proxyCount": proxies, "socketsMin": 80.0,
+		"propagation": 265.0, "reportEvery": 2000.0, "messagesMost": 30, "messagesOver": 10000.0, "proxyCount": proxies, "socketsMin": 80.0,
 		"partitionsN": 0, "classWrites": []bool{false, true}, "staysLocal": []bool{local, local}, "blackhole": 4700.0, "initialSet": 6,
 	}
 	for key, value := range info {
@@ -130,14 +130,17 @@
 
 // muscatSettings returns settings with the channel, the messages and the grace of muscat-union.
 func muscatSettings(zones []string, local bool, proxies int) map[string]any {
-	return settings(zones, local, proxies, map[string]any{"egressPerS": 1400.0, "backlog": 2800.0, "overhead": 3.0, "propagation": 230.0,
+	return settings(zones, local, proxies, map[string]any{"reportEvery": 1000.0, "egressPerS": 1400.0, "backlog": 2800.0, "overhead": 3.0, "propagation": 230.0,
 		"pushDelayMax": 575.0, "messagesMost": 12, "socketsMin": 230.0}, map[string]any{"stopSendingWithin": 1500.0})
 }
 
 // muscatDelay draws how long a message takes from the channel to a proxy, 230 ms on average.
 func muscatDelay() time.Duration { return time.Duration(rand.IntN(460)) * time.Millisecond }
 
-// santiagoDelay draws the same, 250 ms on average.
+// santiagoRedial draws how long a proxy waits before it dials again.
+func santiagoRedial() time.Duration { return time.Duration(470+rand.IntN(1900)) * time.Millisecond }
+
+// santiagoDelay draws the same as muscatDelay, 250 ms on average.
 func santiagoDelay() time.Duration { return time.Duration(100+rand.IntN(300)) * time.Millisecond }
 
 var classNames = []string{"lookup", "order"}
--- a/review/stand-ins-2/messages.go
+++ b/review/stand-ins-2/messages.go
@@ -30,6 +30,7 @@
 	}
 	for i := range proxies {
 		s.proxies = append(s.proxies, newProxy(l, w, i, zones[i%3], classNames, true, muscatDelay))
+		s.proxies[i].every = time.Second
 	}
 	// The proxies of zone c join the controller of their own zone.
 	s.rejoin(func(p *proxy) int {
--- a/review/stand-ins-2/proxy.go
+++ b/review/stand-ins-2/proxy.go
@@ -50,6 +50,7 @@
 	local   bool                 // its classes keep to its zone
 	late    func() time.Duration // from the channel to the proxy
 	fenced  bool
+	every   time.Duration // between two reports
 
 	mutex     sync.Mutex
 	tables    map[string]map[string]float64
@@ -78,7 +79,7 @@
 }
 
 func newProxy(l *lab, w *world, number int, zone string, classes []string, local bool, late func() time.Duration) *proxy {
-	p := &proxy{lab: l, world: w, number: number, zone: zone, classes: classes, local: local, late: late}
+	p := &proxy{lab: l, world: w, number: number, zone: zone, classes: classes, local: local, late: late, every: 2 * time.Second}
 	p.startCold()
 	return p
 }
@@ -333,10 +334,10 @@
 	return true
 }
 
-// report sends what came to the proxy once a second, on its stream.
+// report sends what came to the proxy in each interval, on its stream.
 func (p *proxy) report(s *stream) {
 	for {
-		time.Sleep(time.Second)
+		time.Sleep(p.every)
 		p.mutex.Lock()
 		ended, demand := s.ended, p.demand
 		p.demand = map[string]int{}
@@ -345,7 +346,7 @@
 			return
 		}
 		for _, class := range p.classes {
-			send(s.conn, map[string]any{"msg": "demand", "node": p.number, "route": class, "total": demand[class], "errors": 0, "interval": 1000.0})
+			send(s.conn, map[string]any{"msg": "demand", "node": p.number, "route": class, "total": demand[class], "errors": 0, "interval": float64(p.every.Milliseconds())})
 		}
 	}
 }
--- a/review/stand-ins-2/sharing.go
+++ b/review/stand-ins-2/sharing.go
@@ -11,19 +11,31 @@
 )
 
 // share makes the controllers members that share their proxies, on loopback in plain text and without a
-// folder.
-func (l *lab) share() {
-	var members strings.Builder
-	for _, c := range l.controllers {
-		fmt.Fprintf(&members, "    %s: %s\n", c.name, freeAddress())
-	}
-	for _, c := range l.controllers {
+// folder. Each reaches the others by links of its own, which it returns by the numbers of the members that dial
+// and are dialled.
+func (l *lab) share() map[[2]int]*link {
+	links := map[[2]int]*link{}
+	var addresses []string
+	for range l.controllers {
+		addresses = append(addresses, freeAddress())
+	}
+	for i, c := range l.controllers {
+		text := "sharing:\n  name: " + c.name + "\n  plain: true\n  members:\n"
+		for j, other := range l.controllers {
+			address := addresses[j]
+			if i != j {
+				k := newLink(address)
+				address = k.address
+				links[[2]int{i, j}] = k
+			}
+			text += "    " + other.name + ": " + address + "\n"
+		}
 		c.options = filepath.Join(l.folder, c.name+".yaml")
-		text := "sharing:\n  name: " + c.name + "\n  plain: true\n  members:\n" + members.String()
 		if err := os.WriteFile(c.options, []byte(text), 0o600); err != nil {
 			cannotRun("%v", err)
 		}
 	}
+	return links
 }
 
 // setLease writes a lease into the options files, which members read at their start.
@@ -113,6 +125,7 @@
 	members(l, s, 24, muscatSettings(zones, false, proxies))
 	for i := range proxies {
 		s.proxies = append(s.proxies, newProxy(l, w, i, zones[i%3], classNames, false, muscatDelay))
+		s.proxies[i].every = time.Second
 	}
 	s.rejoin(func(p *proxy) int { return p.number }, true, func() time.Duration { return time.Duration(100+rand.IntN(2400)) * time.Millisecond })
 	s.collect(zones, time.Second)
@@ -158,7 +171,7 @@
 		s.proxies = append(s.proxies, p)
 	}
 	s.rejoin(func(p *proxy) int { return p.number }, false, func() time.Duration { return time.Duration(550+rand.IntN(1000)) * time.Millisecond })
-	s.collect(zones, time.Second)
+	s.collect(zones, 2*time.Second)
 	s.serve(20, s.checkDrain(3300*time.Millisecond, func(*controller, *proxy) bool { return true }))
 	breakStreams := func() {
 		l.note("the streams break")
--- a/review/stand-ins-2/budget.go
+++ b/review/stand-ins-2/shrink.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// release: fourteen of twenty-four backends are replaced within seven seconds. With SHARING=0 the same
-// controllers do not share their proxies.
-func release(l *lab) {
+// shrink: fourteen of twenty-four backends drain, one each 0.9 s. With SHARING=0 the same two controllers do not
+// share their proxies.
+func shrink(l *lab) {
 	w := newWorld(l)
 	s := newSite(l, w)
 	defer s.end()
@@ -20,7 +20,7 @@
 		entries = append(entries, backend{ID: fmt.Sprintf("s-%02d", i), Zone: zones[i%3], State: "up"})
 	}
 	w.set(entries...)
-	for i := range 3 {
+	for i := range 2 {
 		l.addController(fmt.Sprint("n", i), w, muscatSettings(zones, false, proxies))
 	}
 	sharing := os.Getenv("SHARING") != "0"
@@ -38,6 +38,7 @@
 	}
 	for i := range proxies {
 		s.proxies = append(s.proxies, newProxy(l, w, i, zones[i%3], classNames, false, muscatDelay))
+		s.proxies[i].every = time.Second
 	}
 	s.rejoin(func(p *proxy) int { return p.number }, true, func() time.Duration { return time.Duration(100+rand.IntN(2400)) * time.Millisecond })
 	s.collect(zones, time.Second)
@@ -45,8 +46,10 @@
 	time.Sleep(14 * time.Second)
 	if l.trouble {
 		for i := range 14 {
-			s.replace(i)
-			time.Sleep(500 * time.Millisecond)
+			entry := w.get(fmt.Sprintf("s-%02d", i))
+			entry.State = "draining"
+			w.set(entry)
+			time.Sleep(900 * time.Millisecond)
 		}
 	}
 	time.Sleep(8 * time.Second)
--- a/review/stand-ins-2/voters.go
+++ b/review/stand-ins-2/voters.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -41,9 +40,15 @@
 	}
 }
 
+// countLog returns how often a text stands in the controller's log.
+func (c *controller) countLog(text string) int {
+	body, _ := os.ReadFile(filepath.Join(c.lab.folder, c.name+".log"))
+	return strings.Count(string(body), text)
+}
+
 func (c *controller) awaitLog(text string) {
 	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(20 * time.Millisecond) {
-		if body, _ := os.ReadFile(filepath.Join(c.lab.folder, c.name+".log")); strings.Contains(string(body), text) {
+		if c.countLog(text) > 0 {
 			c.lab.note("%s logs %s", c.name, text)
 			return
 		}
@@ -79,8 +84,8 @@
 	for i := range proxies {
 		s.proxies = append(s.proxies, newProxy(l, w, i, zones[i%3], classNames, false, santiagoDelay))
 	}
-	s.rejoin(func(p *proxy) int { return p.number }, true, func() time.Duration { return time.Duration(550+rand.IntN(1900)) * time.Millisecond })
-	s.collect(zones, time.Second)
+	s.rejoin(func(p *proxy) int { return p.number }, true, santiagoRedial)
+	s.collect(zones, 2*time.Second)
 	accepted := time.Now().Add(time.Hour)
 	s.serve(20, func(p *proxy, class, id string, at time.Time) {
 		c, joined := p.joinedTo()
