--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,4 +6,4 @@
   echo "build first: the build of deploy/balancer.toml, then review/build-2.sh" >&2
   exit 2
 fi
-exec bin/review-2 stall review/10/record.txt
+exec bin/review-2 shrink review/10/record.txt
