Review: requests of the stand-ins are paced by the clock, not by timers

Cause: each wait began after the last one had ended, so late timers lowered the rate, by some 4% here and by more on a machine with later timers; case 6 was only just over its limit for that. Change: the times of requests are planned ahead; one that is over 100 ms late is not made up for.

--- a/review/stand-ins-2/traffic.go
+++ b/review/stand-ins-2/traffic.go
@@ -38,11 +38,17 @@
 func (s *site) serve(perSecond float64, sent func(p *proxy, class, id string, at time.Time)) {
 	for _, p := range s.proxies {
 		go func() {
+			next := time.Now()
 			for n := 0; ; n++ {
+				// The times are planned ahead, so that late timers do not lower the rate.
+				next = next.Add(time.Duration((0.5 + rand.Float64()) / perSecond * float64(time.Second)))
+				if late := time.Now().Add(-100 * time.Millisecond); next.Before(late) {
+					next = late
+				}
 				select {
 				case <-s.stopped:
 					return
-				case <-time.After(time.Duration((0.5 + rand.Float64()) / perSecond * float64(time.Second))):
+				case <-time.After(time.Until(next)):
 				}
 				class := p.classes[n%len(p.classes)]
 				now := time.Now()
