controller: bound what connections hold by the memory, and read them in turn

Cause: (a) each connection read up to 1 MiB by itself and made a tree of all its values; nothing counted them together. (b) All connections put their events into one queue, which one of them could keep full; unsound messages were read without any pause.

Change: (a) messages over 4 KiB share an amount of memory (internal/intake), wait in turn, and give way if they stall; they are reduced to the fields that are read before they are parsed; connections are bounded by the memory; those closed are told why. (b) A queue for each connection, taken in turn; a connection is read at 32 messages or 32 KiB a tick; names over 256 bytes are skipped. Both changes are one commit, because both rewrite how a connection is read.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -23,6 +23,7 @@
 	"github.com/valyala/fastjson"
 
 	"wheelrill/balancer"
+	"wheelrill/internal/intake"
 )
 
 // Identity is a controller's name and addresses. New fills empty fields from the configuration.
@@ -102,10 +103,16 @@
 		zoneNames:  parsed.zones,
 		classIndex: parsed.classIndex,
 		backends:   newBackendIndex(),
+		queues:     newEventQueues(parsed.limits.eventsPerConnection),
 		inbox:      make(chan func(), parsed.limits.inboxSize),
-		stopped:    make(chan struct{}),
-		ready:      make(chan struct{}),
-		clock:      newClock(),
+
+		messageMemory: intake.NewMemory(parsed.limits.messageMemory),
+		largeMessages: make(chan struct{}, 1),
+		parsers:       newParsers(parsed.limits.cores),
+
+		stopped: make(chan struct{}),
+		ready:   make(chan struct{}),
+		clock:   newClock(),
 	}
 	backendName := func(backend int) []byte { return loop.backends.names[backend] }
 	loop.tables = newTables(parsed.classNames, backendName, parsed.limits.maxFrame, parsed.limits.maxParts)
--- a/controller/decode.go
+++ b/controller/decode.go
@@ -10,21 +10,22 @@
 // dispatch handles a message according to its kind and the kind of the connection. An error that
 // dispatch returns ends the connection. dispatch returns errors only for unidentified connections;
 // for an identified connection it logs and skips invalid messages.
-func (c *connection) dispatch(message *fastjson.Value) error {
-	if duplicateKey(message) != "" { // a duplicate key makes it ambiguous which of its values applies
+// It returns the event that the message leads to, if any; the event does not refer to the message.
+func (c *connection) dispatch(message *fastjson.Value, hasDuplicateKey bool) (event func(), err error) {
+	if hasDuplicateKey { // it is ambiguous which of the values of the key applies
 		c.skipMessage("duplicate key")
 		if c.kind == kindUnidentified {
-			return errUnacceptable
+			return nil, errUnacceptable
 		}
-		return nil
+		return nil, nil
 	}
 	switch kind := string(message.GetStringBytes(keyMessage)); kind {
 	case messageProbe:
-		return c.answerProbe()
+		return nil, c.answerProbe()
 	case messageHello:
 		return c.handleProxyHello(message)
 	case messageAgent:
-		return c.handleCollectorHello(message)
+		return nil, c.handleCollectorHello(message)
 	default:
 		return c.dispatchIdentified(kind, message)
 	}
@@ -32,21 +33,21 @@
 
 // dispatchIdentified handles a message that only an identified connection may send.
 // Acknowledgements are accepted only from proxies, and outcomes only from collectors.
-func (c *connection) dispatchIdentified(kind string, message *fastjson.Value) error {
+func (c *connection) dispatchIdentified(kind string, message *fastjson.Value) (event func(), err error) {
 	switch {
 	case c.kind == kindUnidentified:
 		c.skipMessage("not allowed before the connection has identified itself")
-		return errNotIdentified
+		return nil, errNotIdentified
 	case kind == messageDemand:
-		c.handleDemand(message)
+		return c.handleDemand(message), nil
 	case kind == messageAck && c.kind == kindProxy:
-		c.handleAck(message)
+		return c.handleAck(message), nil
 	case kind == messageOutcomes && c.kind == kindCollector:
-		c.handleOutcomes(message)
+		return c.handleOutcomes(message), nil
 	default:
 		c.skipMessage("not allowed from a " + c.kind.String())
+		return nil, nil
 	}
-	return nil
 }
 
 // answerProbe answers a readiness check of this controller. If the outbox is full, an unidentified
@@ -63,7 +64,7 @@
 // are only a few different reasons, as the log lines are rate limited by reason.
 func (c *connection) skipMessage(reason string) {
 	const maxShown = 160 // maximum number of bytes of the message in the log line
-	text := c.body.Bytes()
+	text := c.body
 	c.log.Warn("message_skipped", "remote", c.socket.RemoteAddr(), "kind", c.kind, "reason", reason,
 		"message", string(text[:min(len(text), maxShown)]))
 }
@@ -97,18 +98,18 @@
 }
 
 // handleProxyHello handles the message with which a proxy identifies itself.
-func (c *connection) handleProxyHello(message *fastjson.Value) error {
+func (c *connection) handleProxyHello(message *fastjson.Value) (event func(), err error) {
 	if c.kind != kindUnidentified {
 		// A second hello is skipped and does not end the connection: an end would be handled as the
 		// disconnection of a proxy that has not left.
 		c.skipMessage("the connection has already identified itself")
-		return nil
+		return nil, nil
 	}
 	proxy, proxyKnown := indexAt(message, keyProxy, c.limits.proxies)
 	zone, zoneKnown := c.zoneAt(message)
 	if !proxyKnown || !zoneKnown {
 		c.skipMessage("unknown proxy or zone")
-		return errUnacceptable
+		return nil, errUnacceptable
 	}
 	requestsPerSecond, ok := numberAt(message, keyRate)
 	if !ok || requestsPerSecond > c.limits.maxProxyRate {
@@ -117,32 +118,31 @@
 	mayHoldWithdrawals := !message.GetBool(keyCold) // mayHoldWithdrawals is also true if the hello lacks keyCold
 	c.wantsToken = message.GetBool(keyFence)
 	if err := c.identifyAs(kindProxy, proxy, zone); err != nil {
-		return err
+		return nil, err
 	}
-	c.loop.post(func() { c.loop.proxyConnected(c, requestsPerSecond, mayHoldWithdrawals) })
-	return nil
+	return func() { c.loop.proxyConnected(c, requestsPerSecond, mayHoldWithdrawals) }, nil
 }
 
 // handleAck handles a proxy's acknowledgement.
-func (c *connection) handleAck(message *fastjson.Value) {
+func (c *connection) handleAck(message *fastjson.Value) (event func()) {
 	nonce, ok := indexAt(message, keyNonce, 1<<16)
 	proxy, hasProxy := indexAt(message, keyProxy, c.limits.proxies)
 	if !ok || hasProxy && proxy != c.proxy {
 		c.skipMessage("acknowledgement with an invalid nonce, or of another proxy")
-		return
+		return nil
 	}
-	c.loop.post(func() { c.loop.acknowledged(c, nonce) })
+	return func() { c.loop.acknowledged(c, nonce) }
 }
 
 // handleOutcomes handles a load report about a backend. A report with any invalid field is skipped
 // as a whole.
-func (c *connection) handleOutcomes(message *fastjson.Value) {
+func (c *connection) handleOutcomes(message *fastjson.Value) (event func()) {
 	report, ok := c.decodeOutcomes(message)
 	if !ok {
 		c.skipMessage("outcomes with a missing or invalid field")
-		return
+		return nil
 	}
-	c.loop.tryPost(func() { c.loop.outcomesReported(report) })
+	return func() { c.loop.outcomesReported(report) }
 }
 
 // decodeOutcomes reads a load report about a backend. It ignores fields that it does not use. It
@@ -156,15 +156,16 @@
 	meanLatency := settings.FromMilliseconds(latency)
 	load, loadOK := c.decodeLoad(message.Get(keyLoad))
 	_, zoneKnown := c.zoneAt(message)
-	backend := string(message.GetStringBytes(keyBackend))
+	backend := message.GetStringBytes(keyBackend)
 
 	countsOK := attemptsOK && failedOK && failed <= attempts
 	// A report in which all attempts failed needs no latency.
 	latencyOK := failed >= attempts || latencyKnown && meanLatency <= c.limits.maxResponseTime
-	if !countsOK || !latencyOK || !intervalOK || !loadOK || !zoneKnown || backend == "" {
+	idOK := len(backend) > 0 && len(backend) <= c.limits.maxIDBytes
+	if !countsOK || !latencyOK || !intervalOK || !loadOK || !zoneKnown || !idOK {
 		return outcomeReport{}, false
 	}
-	return outcomeReport{backend, attempts, failed, meanLatency, interval, load}, true
+	return outcomeReport{string(backend), attempts, failed, meanLatency, interval, load}, true
 }
 
 // decodeLoad reads the load figures that a backend reports about itself. A missing figure is
@@ -182,7 +183,7 @@
 
 // handleDemand handles a load report about a proxy. The report may arrive on the proxy's connection
 // or on the connection of any collector.
-func (c *connection) handleDemand(message *fastjson.Value) {
+func (c *connection) handleDemand(message *fastjson.Value) (event func()) {
 	proxy, proxyKnown := indexAt(message, keyProxy, c.limits.proxies)
 	class, classKnown := c.loop.classIndex[string(message.GetStringBytes(keyClass))]
 	interval, seconds, intervalOK := c.intervalAt(message)
@@ -190,7 +191,11 @@
 	otherProxy := c.kind == kindProxy && proxy != c.proxy
 	if !proxyKnown || !classKnown || !intervalOK || !countOK || otherProxy {
 		c.skipMessage("demand with a missing or invalid field, or of another proxy")
-		return
+		return nil
+	}
+	return func() {
+		if c.kind == kindCollector || c.loop.isCurrent(c) {
+			c.loop.demandReported(proxy, class, count, interval)
+		}
 	}
-	c.loop.tryPost(func() { c.loop.demandReported(proxy, class, count, interval) })
 }
--- a/controller/errors.go
+++ b/controller/errors.go
@@ -25,6 +25,20 @@
 	errNotIdentified = errors.New("it must say first who it is")
 )
 
+// Reasons for refusing an identified connection too. The peer receives the text like those above.
+var (
+	// errMessageStalled: a message was not complete in time, while others waited for its memory.
+	errMessageStalled = errors.New("its message was not complete in time, and others wait")
+	// errMessageTooLarge: the configured memory does not suffice for the message.
+	errMessageTooLarge = errors.New("its message is too large for the memory of this controller")
+)
+
+// isRefusal reports whether an identified connection is told the reason of its end: this controller
+// does not take what the peer has sent.
+func isRefusal(err error) bool {
+	return errors.Is(err, errUnreadable) || errors.Is(err, errMessageStalled) || errors.Is(err, errMessageTooLarge)
+}
+
 // Reasons for closing a connection.
 var (
 	// errOutboxFull: limits.outboxSize messages wait in the connection's outbox. An unidentified
--- a/controller/eventloop.go
+++ b/controller/eventloop.go
@@ -5,7 +5,10 @@
 	"log/slog"
 	"time"
 
+	"github.com/valyala/fastjson"
+
 	"wheelrill/balancer"
+	"wheelrill/internal/intake"
 )
 
 // eventLoop owns the controller's state, and implements balancer.Host for its balancer.Controller.
@@ -37,9 +40,18 @@
 	backends   *backendIndex
 	sessions   []*session // session of each proxy, by proxy number; nil if the proxy is not connected
 
-	// inbox holds at most limits.inboxSize events. When it is full, post blocks and tryPost drops
-	// its event.
-	inbox   chan func()
+	// queues holds the events of connections.
+	queues *eventQueues
+	// inbox holds the other events, at most limits.inboxSize. When it is full, post blocks.
+	inbox chan func()
+	// messageMemory is the memory that all large messages share while they are read and handled.
+	messageMemory *intake.Memory
+	// largeMessages holds a value while a large message is reduced.
+	largeMessages chan struct{}
+	// parsers holds the parsers that no connection uses. There is one for each core, because a parser
+	// keeps the memory that its largest message took.
+	parsers chan *fastjson.Parser
+
 	stopped chan struct{} // closed when run returns; no event is handled after that
 	ready   chan struct{} // closed by becomeReady; until then connections send no message
 
@@ -58,17 +70,6 @@
 	}
 }
 
-// tryPost queues an event that may be lost. If the inbox is full, the event is dropped: the reader
-// of a connection must not block, and the thousands of queued load reports carry almost the same
-// information. Any goroutine may call tryPost.
-func (l *eventLoop) tryPost(event func()) {
-	select {
-	case l.inbox <- event:
-	default:
-		l.log.Warn("report_dropped", "inbox_size", l.limits.inboxSize)
-	}
-}
-
 // wake makes the loop run an iteration, by queueing an event that does nothing. If the inbox is
 // full, wake queues nothing, as the queued events make the loop iterate anyway. Any goroutine may
 // call wake.
@@ -101,6 +102,11 @@
 				return
 			}
 			l.iterate(event)
+		case <-l.queues.filled:
+			if !l.awaitTick(ctx, wake) {
+				return
+			}
+			l.iterate(func() {})
 		}
 	}
 }
@@ -158,16 +164,39 @@
 }
 
 // handleQueuedEvents handles queued events, so that the iteration handles at most
-// limits.eventsPerIteration events, the first one included.
+// limits.eventsPerIteration events, the first one included. The events of connections come last, and
+// in turn.
 func (l *eventLoop) handleQueuedEvents() {
-	for handled := 1; handled < l.limits.eventsPerIteration; handled++ {
+	handled := 1 + l.handleInbox(l.limits.eventsPerIteration-1)
+	l.handleConnectionEvents(l.limits.eventsPerIteration - handled)
+}
+
+// handleConnectionEvents handles events of connections, in turn and up to a number.
+func (l *eventLoop) handleConnectionEvents(limit int) {
+	for limit > 0 {
+		events := l.queues.take(limit)
+		if len(events) == 0 {
+			return
+		}
+		for _, event := range events {
+			event()
+		}
+		limit -= len(events)
+	}
+	signal(l.queues.filled) // events may be left for the next iteration
+}
+
+// handleInbox handles events in the inbox, up to a number, and returns how many it handled.
+func (l *eventLoop) handleInbox(limit int) (handled int) {
+	for ; handled < limit; handled++ {
 		select {
 		case event := <-l.inbox:
 			event()
 		default:
-			return
+			return handled
 		}
 	}
+	return handled
 }
 
 // pushChanges writes each proxy the changes of this iteration that concern it, and registers the
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -59,10 +59,20 @@
 	maxFirstFrame int
 	// maxParts bounds the number of parts of a message to a proxy.
 	maxParts int
-	// maxIdleBuffer is the size in bytes above which a reader releases its buffer after a message.
-	maxIdleBuffer int
-	// inboxSize bounds the events queued for the event loop. At the bound, load reports are
-	// dropped, and posting any other event blocks.
+	// smallMessage is the size in bytes up to which a message is read into the buffer that each
+	// connection keeps. The memory of larger messages is bounded by messageMemory.
+	smallMessage int
+	// messageMemory bounds the bytes that all connections together use for messages of more than
+	// smallMessage. At the bound, they wait, and incomplete ones are given up.
+	messageMemory int64
+	// eventsPerConnection bounds the events of one connection that wait for the event loop. At the
+	// bound, the connection is not read.
+	eventsPerConnection int
+	// receiveBuffer is the size in bytes of the system's buffer for what a connection has received,
+	// but this process has not read.
+	receiveBuffer int
+	// inboxSize bounds the events queued for the event loop, apart from those of connections. At the
+	// bound, posting an event blocks.
 	inboxSize int
 	// eventsPerIteration bounds the events that the loop handles in one iteration, at one clock
 	// time.
@@ -177,7 +187,8 @@
 		maxFrame:           1 << 20,
 		maxFirstFrame:      16 << 10,
 		maxParts:           64,
-		maxIdleBuffer:      64 << 10,
+		smallMessage:       4 << 10,
+		receiveBuffer:      64 << 10,
 		inboxSize:          4096,
 		eventsPerIteration: 1024,
 		outboxSize:         64,
@@ -222,6 +233,25 @@
 	if sockets > 0 {
 		l.sockets = int(min(sockets, maxSockets))
 	}
+	l.fitMemory()
+}
+
+// fitMemory sets the limits that follow from the memory of the process.
+func (l *limits) fitMemory() {
+	const (
+		shareForMessages = 8        // messages get this part of the memory
+		maxMessageMemory = 64 << 20 // bytes; also for an unknown memory
+		shareForEvents   = 16       // events get this part of the memory
+		eventBytes       = 256      // estimated bytes of one event
+		minEvents        = 64       // least number of events of a connection
+		maxEvents        = 1024
+	)
+	l.messageMemory = maxMessageMemory
+	l.eventsPerConnection = maxEvents
+	if l.memory > 0 {
+		l.messageMemory = min(maxMessageMemory, max(l.memory/shareForMessages, memoryPerMessageByte*int64(l.maxFrame)))
+		l.eventsPerConnection = min(maxEvents, max(minEvents, int(l.memory/shareForEvents/eventBytes/int64(l.sockets))))
+	}
 }
 
 // fitFleet sets the limits that follow from the number of proxies and zones. It needs the result of
@@ -234,8 +264,16 @@
 	// peers, as every connection starts unidentified.
 	const reservedForUnidentified = 8
 	const minUnidentified = 256
+	const (
+		shareForConnections = 4        // connections get this part of the memory, apart from large messages
+		connectionBytes     = 24 << 10 // estimated bytes of one connection
+	)
 	l.proxies = proxies
-	l.maxConnections = max(l.sockets-reservedSockets, reservedForUnidentified+1)
+	connections := l.sockets - reservedSockets
+	if l.memory > 0 {
+		connections = min(connections, int(l.memory/shareForConnections/connectionBytes))
+	}
+	l.maxConnections = max(connections, reservedForUnidentified+1)
 	// Two connections per proxy are expected, as a proxy may reconnect before the controller detects
 	// the end of its old connection.
 	expected := 2*proxies + (l.collectorsPerZone+1)*zones
--- a/controller/log.go
+++ b/controller/log.go
@@ -46,7 +46,6 @@
 	"proxy_connected":              "proxy",
 	"proxy_disconnected":           "proxy",
 	"proxy_granted":                "",
-	"report_dropped":               "",
 	"report_for_unknown_backend":   "",
 	"subscriber_refused":           "",
 	"subscription_refused":         "",
--- a/controller/ownership_host.go
+++ b/controller/ownership_host.go
@@ -70,6 +70,9 @@
 		case event := <-loop.inbox:
 			loop.now = max(loop.clock(), loop.now+1)
 			event()
+		case <-loop.queues.filled:
+			loop.now = max(loop.clock(), loop.now+1)
+			loop.handleConnectionEvents(loop.limits.eventsPerIteration)
 		case <-timeout:
 			loop.log.Warn("handover_unconfirmed", "owned", h.coordinator.OwnedProxies(), "reason", "the record does not answer")
 			return
--- a/controller/server.go
+++ b/controller/server.go
@@ -63,6 +63,9 @@
 // serve starts a goroutine that serves an accepted socket.
 func (s *server) serve(socket net.Conn) {
 	s.accepted++
+	if tcp, ok := socket.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(s.limits.receiveBuffer) // without it, the system's default applies
+	}
 	c := newConnection(socket, s.accepted, s.loop, s.identify)
 	s.mutex.Lock()
 	s.unidentified = append(s.unidentified, c)
--- a/controller/sessions.go
+++ b/controller/sessions.go
@@ -62,6 +62,13 @@
 	l.decisions.ProxyConnected(conn.proxy, conn.zone, requestsPerSecond, mayHoldWithdrawals)
 }
 
+// connectionEnded handles the end of a connection. It is the last event of the connection.
+func (l *eventLoop) connectionEnded(conn *connection) {
+	if conn.kind == kindProxy {
+		l.proxyDisconnected(conn)
+	}
+}
+
 // proxyDisconnected handles the end of a proxy's connection, unless another connection has replaced
 // it.
 func (l *eventLoop) proxyDisconnected(conn *connection) {
