consensus: bound connections and calls at the members' address by the memory

Cause: each caller could have up to 4 MiB read, allocated as soon as it announced them, and decoded into many times that; the number of connections had no bound, and one that said nothing was kept.

Change: calls, and messages of subscribers, share the memory of all messages while they are read, and as much again while they are decoded, by their number of items (internal/frame). Connections are bounded by the memory: the oldest unidentified one gives way, or the new one is told that there is no room; one without a call for 30 s ends. What has to come first on a connection is 4 KiB.

--- a/consensus/calls.go
+++ b/consensus/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"time"
@@ -9,6 +10,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/raft"
 
+	"wheelrill/internal/frame"
+	"wheelrill/internal/intake"
 	"wheelrill/ownership"
 )
 
@@ -16,15 +19,39 @@
 // of members.
 const applyTimeout = 500 * time.Millisecond
 
+// idleTimeout is the time after which the connection of a member that makes no call is closed. Members
+// that need their connection make a call several times in a lease.
+const idleTimeout = 30 * time.Second
+
+// refuseCall answers a call that cannot be read with the reason, if the caller is still there and the
+// call is sound.
+func refuseCall(conn net.Conn, err error) {
+	var reason string
+	var tooLarge frame.TooLargeError
+	switch {
+	case errors.Is(err, frame.ErrStalled):
+		reason = reasonStalled
+	case errors.Is(err, intake.ErrTooLarge), errors.As(err, &tooLarge):
+		reason = reasonTooLarge
+	default:
+		return
+	}
+	conn.SetWriteDeadline(time.Now().Add(callTimeout))
+	_ = send(conn, memberResponse{Reason: reason}) // the connection is closed in any case
+}
+
 // serve answers the calls on one connection in sequence, until the connection ends. A caller that
 // is not a member may only subscribe, and has to send its call within callTimeout.
 func (n *Node) serve(conn net.Conn, from caller, connection int) {
-	if len(from.members) == 0 {
-		conn.SetReadDeadline(time.Now().Add(callTimeout))
-	}
 	for {
 		var request memberRequest
-		if err := receive(conn, &request); err != nil {
+		timeout := idleTimeout
+		if len(from.members) == 0 {
+			timeout = callTimeout
+		}
+		conn.SetReadDeadline(time.Now().Add(timeout))
+		if _, err := n.config.Bounds.Read(conn, conn, nil, maxCallBytes, &request); err != nil {
+			refuseCall(conn, err)
 			return
 		}
 		response := n.handle(request, from, connection)
--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -17,6 +17,7 @@
 var (
 	errNotMember     = errors.New("consensus: the caller's certificate is not valid for the name of any member")
 	errWrongID       = errors.New("consensus: the connection is for an ID that this member does not have now")
+	errNoRoom        = errors.New("consensus: too many connections are open")
 	errUnknownMember = errors.New("consensus: the settings have no address for the member")
 )
 
--- a/consensus/messages.go
+++ b/consensus/messages.go
@@ -74,14 +74,24 @@
 	reasonNotMember     = "its certificate names no member"
 	reasonOtherMember   = "it may not speak for that member"
 	reasonNoSubscribers = "nobody can subscribe here"
+	reasonNoRoom        = "too many connections are open"
+	reasonTooLarge      = "its call is too large for the memory of this member"
+	reasonStalled       = "its call was not complete in time, and others wait"
 )
 
+// maxFirstBytes is the maximum size of a message that has to come first on a connection, before its
+// caller is served.
+const maxFirstBytes = 4 << 10
+
 // send writes one message, preceded by its length.
 func send(to io.Writer, message any) error { return frame.Write(to, message) }
 
 // receive reads one message of at most maxCallBytes.
 func receive(from io.Reader, into any) error { return frame.Read(from, maxCallBytes, into) }
 
+// receiveFirst reads one message of at most maxFirstBytes.
+func receiveFirst(from io.Reader, into any) error { return frame.Read(from, maxFirstBytes, into) }
+
 // roundTrip sends a call on a connection and reads the response, within callTimeout.
 func roundTrip(conn net.Conn, request memberRequest) (response memberResponse, err error) {
 	conn.SetDeadline(time.Now().Add(callTimeout))
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/raft"
 
 	"wheelrill/distribution"
+	"wheelrill/internal/frame"
 	"wheelrill/ownership"
 )
 
@@ -50,6 +51,11 @@
 	// Distribution receives the distributed configuration, and serves its subscribers; nil if this
 	// member serves no subscribers.
 	Distribution Distribution
+	// Bounds bounds the memory of the calls that this member receives; nil if it is not bounded.
+	Bounds *frame.Bounds
+	// MaxConnections is the number of connections to this member that can be open at the same time;
+	// 0 means defaultMaxConnections.
+	MaxConnections int
 }
 
 // Node is a member that takes part in replicating the ownership record and the configuration
@@ -123,6 +129,9 @@
 	}
 	n.transport = newTransport(config.Members, tlsConfig)
 	n.transport.listener = listener
+	if config.MaxConnections > 0 {
+		n.transport.maxConnections = config.MaxConnections
+	}
 	n.transport.id = n.ID
 	n.transport.serve = n.serve
 	n.transport.allowSubscribers = config.Distribution != nil
--- a/consensus/subscription.go
+++ b/consensus/subscription.go
@@ -118,7 +118,7 @@
 func acceptSubscription(conn net.Conn) bool {
 	conn.SetDeadline(time.Now().Add(callTimeout))
 	var request memberRequest
-	if receive(conn, &request) != nil {
+	if receiveFirst(conn, &request) != nil {
 		return false
 	}
 	if send(conn, subscribeResponse(request.Subscribe)) != nil {
--- a/consensus/transport.go
+++ b/consensus/transport.go
@@ -17,9 +17,14 @@
 const (
 	dialTimeout      = 500 * time.Millisecond // time limit for opening a connection and identifying its caller
 	callTimeout      = time.Second            // time limit for sending a call and receiving its response
+	minEvictAge      = 50 * time.Millisecond  // age below which no accepted connection makes room for another
 	acceptRetryPause = 10 * time.Millisecond  // pause after an error of the listener before the next call of Accept
 )
 
+// defaultMaxConnections is the number of accepted connections that can be open at the same time, where
+// the configuration gives none.
+const defaultMaxConnections = 2048
+
 // transport opens and accepts the connections between members, both raft connections and
 // connections for calls.
 type transport struct {
@@ -40,8 +45,11 @@
 	endOnce   sync.Once
 	handlers  sync.WaitGroup // goroutines that serve accepted connections
 
-	mutex     sync.Mutex        // protects the fields conns and connCount
+	maxConnections int // set before acceptLoop starts
+
+	mutex     sync.Mutex        // protects the fields conns, accepted and connCount
 	conns     map[net.Conn]bool // open connections, which transport.close closes
+	accepted  []acceptedConn    // accepted connections that are served, oldest first; at most maxConnections
 	connCount int               // number of accepted connections for calls; the last connection has this number
 
 	bytes atomic.Int64 // number of bytes sent and received on all connections since the call of newTransport
@@ -52,8 +60,11 @@
 		members:   members,
 		tlsConfig: tlsConfig,
 		raftConns: make(chan net.Conn),
-		ended:     make(chan struct{}),
-		conns:     map[net.Conn]bool{},
+
+		maxConnections: defaultMaxConnections,
+
+		ended: make(chan struct{}),
+		conns: map[net.Conn]bool{},
 	}
 }
 
@@ -70,6 +81,13 @@
 		}
 		t.handlers.Go(func() {
 			tracked := t.track(conn)
+			if !t.admit(conn) {
+				tracked.SetWriteDeadline(time.Now().Add(dialTimeout))
+				_ = send(tracked, memberResponse{Reason: reasonNoRoom}) // the connection is closed in any case
+				tracked.Close()
+				t.onRefused(conn.RemoteAddr(), errNoRoom)
+				return
+			}
 			if err := t.accept(tracked); err != nil {
 				tracked.Close()
 				t.onRefused(conn.RemoteAddr(), err)
@@ -78,6 +96,43 @@
 	}
 }
 
+// admit counts an accepted connection, and reports whether it may stay. If there are too many, the
+// oldest one whose caller has not been identified is closed in its place.
+func (t *transport) admit(conn net.Conn) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(t.accepted) >= t.maxConnections {
+		oldest := slices.IndexFunc(t.accepted, func(other acceptedConn) bool {
+			return !other.identified && time.Since(other.at) >= minEvictAge
+		})
+		if oldest < 0 {
+			return false
+		}
+		t.accepted[oldest].Close()
+		t.accepted = slices.Delete(t.accepted, oldest, oldest+1)
+	}
+	t.accepted = append(t.accepted, acceptedConn{Conn: conn, at: time.Now()})
+	return true
+}
+
+// noteIdentified notes that the caller of an accepted connection has said what the connection is for.
+func (t *transport) noteIdentified(conn net.Conn) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for i := range t.accepted {
+		if t.accepted[i].Conn == conn {
+			t.accepted[i].identified = true
+		}
+	}
+}
+
+// acceptedConn is an accepted connection that is served.
+type acceptedConn struct {
+	net.Conn
+	at         time.Time // time of the accept
+	identified bool      // its caller has said what the connection is for
+}
+
 // isClosedAfter waits for the pause or until the transport is closed, and reports whether the
 // transport is closed.
 func (t *transport) isClosedAfter(pause time.Duration) bool {
@@ -91,9 +146,9 @@
 
 // accept identifies the caller, and serves the connection or passes it to raft. The error is the
 // reason for which the caller is refused.
-func (t *transport) accept(conn net.Conn) error {
-	conn.SetDeadline(time.Now().Add(dialTimeout))
-	conn, from, err := t.identify(conn)
+func (t *transport) accept(raw net.Conn) error {
+	raw.SetDeadline(time.Now().Add(dialTimeout))
+	conn, from, err := t.identify(raw)
 	if err != nil {
 		return err
 	}
@@ -104,6 +159,9 @@
 	if _, err := io.ReadFull(conn, purpose); err != nil {
 		return fmt.Errorf("read the first byte, the purpose of the connection: %w", err)
 	}
+	if tracked, ok := raw.(trackedConn); ok {
+		t.noteIdentified(tracked.Conn)
+	}
 	switch connPurpose(purpose[0]) {
 	case connCalls:
 		conn.SetDeadline(time.Time{})
@@ -123,7 +181,7 @@
 		return errNotMember
 	}
 	var targetID string
-	if err := receive(conn, &targetID); err != nil {
+	if err := receiveFirst(conn, &targetID); err != nil {
 		return err
 	}
 	if targetID != t.id() {
@@ -256,6 +314,7 @@
 func (c trackedConn) Close() error {
 	c.transport.mutex.Lock()
 	delete(c.transport.conns, c.Conn)
+	c.transport.accepted = slices.DeleteFunc(c.transport.accepted, func(other acceptedConn) bool { return other.Conn == c.Conn })
 	c.transport.mutex.Unlock()
 	return c.Conn.Close()
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -23,6 +23,7 @@
 	"github.com/valyala/fastjson"
 
 	"wheelrill/balancer"
+	memberframe "wheelrill/internal/frame"
 	"wheelrill/internal/intake"
 )
 
@@ -116,6 +117,7 @@
 	}
 	backendName := func(backend int) []byte { return loop.backends.names[backend] }
 	loop.tables = newTables(parsed.classNames, backendName, parsed.limits.maxFrame, parsed.limits.maxParts)
+	loop.memberBounds = memberframe.NewBounds(loop.messageMemory)
 	loop.now = loop.clock()
 	return loop
 }
--- a/controller/distribution.go
+++ b/controller/distribution.go
@@ -141,10 +141,11 @@
 		scopes = distribution.AllScopes()
 	}
 	d.transport = transport.New(transport.Config{
-		Node:  distribution.Config{Name: self.String(), Scopes: scopes, Candidates: config.candidates(), Limits: d.limits},
-		Dial:  subscriber.Dial,
-		Apply: d.apply,
-		Log:   d.logEvent,
+		Node:   distribution.Config{Name: self.String(), Scopes: scopes, Candidates: config.candidates(), Limits: d.limits},
+		Dial:   subscriber.Dial,
+		Apply:  d.apply,
+		Log:    d.logEvent,
+		Memory: d.loop.memberBounds,
 	})
 	return d.restore(config.Folder)
 }
@@ -185,10 +186,11 @@
 // becomeVoter sets up the distribution node of a voter, which has no parent.
 func (d *distributor) becomeVoter(self consensus.Peer) *transport.Transport {
 	d.transport = transport.New(transport.Config{
-		Node:  distribution.Config{Name: self.String(), Voter: true, Limits: d.limits},
-		Dial:  func(context.Context, string) (net.Conn, error) { return nil, errNoParent },
-		Apply: d.apply,
-		Log:   d.logEvent,
+		Node:   distribution.Config{Name: self.String(), Voter: true, Limits: d.limits},
+		Dial:   func(context.Context, string) (net.Conn, error) { return nil, errNoParent },
+		Apply:  d.apply,
+		Log:    d.logEvent,
+		Memory: d.loop.memberBounds,
 	})
 	return d.transport
 }
--- a/controller/eventloop.go
+++ b/controller/eventloop.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fastjson"
 
 	"wheelrill/balancer"
+	memberframe "wheelrill/internal/frame"
 	"wheelrill/internal/intake"
 )
 
@@ -46,6 +47,9 @@
 	inbox chan func()
 	// messageMemory is the memory that all large messages share while they are read and handled.
 	messageMemory *intake.Memory
+	// memberBounds bounds the memory of messages from other controllers, which is part of
+	// messageMemory.
+	memberBounds *memberframe.Bounds
 	// largeMessages holds a value while a large message is reduced.
 	largeMessages chan struct{}
 	// parsers holds the parsers that no connection uses. There is one for each core, because a parser
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -37,6 +37,10 @@
 	// maxIdentified bounds the identified connections; at the bound, a connection that identifies
 	// itself is refused.
 	maxIdentified int
+	// maxMemberConnections bounds the connections from other controllers; 0 means the default of
+	// package consensus. At the bound, the oldest one that is not identified is closed, or the new one
+	// is refused.
+	maxMemberConnections int
 	// collectorsPerZone bounds the collector connections of a zone; at the bound, a new one
 	// replaces the oldest.
 	collectorsPerZone int
@@ -266,12 +270,14 @@
 	const minUnidentified = 256
 	const (
 		shareForConnections = 4        // connections get this part of the memory, apart from large messages
+		shareForMembers     = 8        // connections from other controllers get this part
 		connectionBytes     = 24 << 10 // estimated bytes of one connection
 	)
 	l.proxies = proxies
 	connections := l.sockets - reservedSockets
 	if l.memory > 0 {
 		connections = min(connections, int(l.memory/shareForConnections/connectionBytes))
+		l.maxMemberConnections = int(l.memory / shareForMembers / connectionBytes)
 	}
 	l.maxConnections = max(connections, reservedForUnidentified+1)
 	// Two connections per proxy are expected, as a proxy may reconnect before the controller detects
--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -97,7 +97,8 @@
 // node of a voter also distributes the configuration.
 func (c *Controller) newConsensusNode(config OwnershipConfig, host *ownershipHost) (*consensus.Node, error) {
 	nodeConfig := consensus.Config{Name: config.Name, Members: config.Members, Folder: config.Folder,
-		Credentials: config.Credentials, Terms: host.terms}
+		Credentials: config.Credentials, Terms: host.terms,
+		Bounds: c.loop.memberBounds, MaxConnections: c.limits.maxMemberConnections}
 	isVoter := c.distributor != nil && c.distributor.transport == nil
 	if isVoter {
 		nodeConfig.Distribution = c.distributor.becomeVoter(
--- a/distribution/transport/config.go
+++ b/distribution/transport/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wheelrill/distribution"
+	"wheelrill/internal/frame"
 )
 
 // Config holds the parameters of a transport. The event loop calls Apply and Log: they must neither
@@ -21,6 +22,8 @@
 	Apply func(change distribution.Change, complete bool)
 	// Log receives the events of the node. A nil Log is not called.
 	Log func(event distribution.Event)
+	// Memory bounds the memory of messages on accepted connections; nil if it is not bounded.
+	Memory *frame.Bounds
 	// Bounds limits the transport; a bound that is not positive is replaced by its default.
 	Bounds Bounds
 }
--- a/distribution/transport/link.go
+++ b/distribution/transport/link.go
@@ -176,10 +176,14 @@
 	}()
 	from := bufio.NewReaderSize(countingConn{l.conn, t}, readBufferBytes)
 	var buffer []byte
+	var memory *frame.Bounds // a parent, which this process has dialed, is not bounded
+	if isAccepted := l.cancel == nil; isAccepted {
+		memory = t.config.Memory
+	}
 	for {
 		var envelope distribution.Envelope
 		var err error
-		buffer, err = frame.ReadWith(from, buffer, t.bounds.MessageBytes, &envelope)
+		buffer, err = memory.Read(l.conn, from, buffer, t.bounds.MessageBytes, &envelope)
 		if err != nil {
 			return
 		}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -10,6 +10,8 @@
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"wheelrill/internal/intake"
 )
 
 // HeaderBytes is the size of the header in front of each message.
@@ -77,12 +79,19 @@
 	if size > int64(maxBytes) {
 		return buffer, TooLargeError{Size: int(size), Max: maxBytes}
 	}
-	if int64(cap(buffer)) < size {
-		buffer = make([]byte, size)
-	}
-	body := buffer[:size]
-	if _, err := io.ReadFull(from, body); err != nil {
+	buffer, err := readBody(from, buffer, int(size), nil)
+	if err != nil {
 		return buffer, err
 	}
-	return buffer, cbor.Unmarshal(body, into)
+	return buffer, cbor.Unmarshal(buffer, into)
+}
+
+// readBody reads a body into a buffer, which grows as bytes arrive. The error is io.EOF if the stream
+// ends before the first byte, and io.ErrUnexpectedEOF if it ends later.
+func readBody(from io.Reader, buffer []byte, size int, progress func()) ([]byte, error) {
+	buffer, err := intake.ReadBody(from, buffer, size, progress)
+	if err == io.EOF && len(buffer) > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return buffer, err
 }
--- a/internal/intake/memory.go
+++ b/internal/intake/memory.go
@@ -66,6 +66,9 @@
 // NewMemory returns a Memory of a number of bytes.
 func NewMemory(bytes int64) *Memory { return &Memory{total: bytes, free: bytes} }
 
+// Total returns the number of bytes that all leases together may have.
+func (m *Memory) Total() int64 { return m.total }
+
 // Acquire waits until a number of bytes is free, and returns a lease for them. It returns ErrTooLarge
 // if there are never so many bytes, and ErrStopped if done is closed first. revoke is called, once
 // at most, if the message has to be given up; it has to end the reading of the message.
