consensus: an order takes effect once, and callers that have left are not served

Cause: each try of ReplaceConfiguration made a new proposal on the record as it was by then, and proposals had no identity. A member handled call after call whether or not anybody waited.

A member asks the system whether the caller is still there.

The tests are new; the case that repeats a proposal needs the new number, so it does not compile on the code before.

--- a/consensus/calls.go
+++ b/consensus/calls.go
@@ -40,8 +40,9 @@
 	_ = send(conn, memberResponse{Reason: reason}) // the connection is closed in any case
 }
 
-// serve answers the calls on one connection in sequence, until the connection ends. A caller that
-// is not a member may only subscribe, and has to send its call within callTimeout.
+// serve answers the calls on one connection in sequence, until the connection ends or its caller has
+// left; the calls that are then unread are dropped. A caller that is not a member may only subscribe,
+// and has to send its call within callTimeout.
 func (n *Node) serve(conn net.Conn, from caller, connection int) {
 	for {
 		var request memberRequest
@@ -54,6 +55,9 @@
 			refuseCall(conn, err)
 			return
 		}
+		if hasLeft(conn) {
+			return // the caller does not wait for an answer any more, and may have called another member
+		}
 		response := n.handle(request, from, connection)
 		conn.SetWriteDeadline(time.Now().Add(callTimeout))
 		if err := send(conn, response); err != nil {
--- a/consensus/configuration.go
+++ b/consensus/configuration.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -94,7 +95,8 @@
 
 // accept applies a proposal to the configuration record, or refuses the proposal. It passes the
 // first change of an empty record to Distribution.Restored, as a whole state, and each later change
-// to Distribution.Accepted.
+// to Distribution.Accepted. A proposal that was accepted before changes nothing, and has the result
+// that it had then.
 func (c *configurationRecord) accept(proposal distribution.Proposal) changeResult {
 	c.mutex.Lock()
 	first := c.record.Empty()
@@ -105,6 +107,10 @@
 		firstState = c.record.State()
 	}
 	c.mutex.Unlock()
+	var already distribution.AlreadyAcceptedError
+	if errors.As(err, &already) {
+		return changeResult{version: already.Version}
+	}
 	if err != nil {
 		return changeResult{err: err}
 	}
--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -13,6 +13,10 @@
 	ErrChangeRefused = errors.New("consensus: the record refuses the change")
 )
 
+// errNotProposed means, beside ErrUnanswered, that no leader can have accepted the change, because none
+// was asked.
+var errNotProposed = errors.New("consensus: the change was not proposed")
+
 // Reasons for which a connection between members is refused.
 var (
 	errNotMember     = errors.New("consensus: the caller's certificate is not valid for the name of any member")
--- a/consensus/propose_change.go
+++ b/consensus/propose_change.go
@@ -15,27 +15,44 @@
 
 // ReplaceConfiguration makes the configuration record hold exactly the wanted entries, by one
 // change. It returns the version after the change and the number of entries that differed; if none
-// differed it proposes nothing and returns 0. While the outcome is unknown or the record has
-// changed since the proposal was made, it tries again every pollInterval until the context ends.
-// Its errors are those of ProposeChange.
+// differed it proposes nothing and returns 0. While the outcome is unknown it proposes the same change
+// again every pollInterval, until the context ends; the record accepts it once at most. If the record
+// has changed since the proposal was made, it makes a new one, unless an earlier outcome was unknown:
+// others may then have changed the record knowing better, and it returns ErrChangeRefused. Its other
+// errors are those of ProposeChange.
 func (n *Node) ReplaceConfiguration(ctx context.Context, wanted []distribution.Entry) (
 	version distribution.Version, differing int, err error) {
+	proposal, anyUnanswered := n.difference(wanted), false
 	for {
-		var proposal distribution.Proposal
-		n.current().machine.configuration.view(func(record *distribution.Record) { proposal = record.Difference(wanted) })
 		if len(proposal.Entries) == 0 {
 			return proposal.Base, 0, nil
 		}
 		version, err = n.ProposeChange(ctx, proposal)
-		if err == nil || errors.Is(err, ErrChangeRefused) {
+		mismatch := errors.Is(err, distribution.ErrVersionMismatch)
+		switch {
+		case err == nil || errors.Is(err, ErrChangeRefused):
 			return version, len(proposal.Entries), err
+		case mismatch && anyUnanswered:
+			return version, 0, fmt.Errorf("%w: %w", ErrChangeRefused, err)
 		}
 		if !sleep(ctx, pollInterval) {
 			return version, 0, err
 		}
+		if mismatch {
+			proposal = n.difference(wanted)
+		}
+		anyUnanswered = anyUnanswered || !mismatch && !errors.Is(err, errNotProposed)
 	}
 }
 
+// difference returns the proposal that makes this member's configuration record hold exactly the
+// wanted entries, with an Order of its own.
+func (n *Node) difference(wanted []distribution.Entry) (proposal distribution.Proposal) {
+	n.current().machine.configuration.view(func(record *distribution.Record) { proposal = record.Difference(wanted) })
+	proposal.Order = distribution.Order(randomID())
+	return proposal
+}
+
 // ProposeChange proposes a change to the configuration record, which accepts it completely and
 // once, or not at all. It returns the version after the change. The error is ErrUnanswered if it is
 // unknown whether the change will be accepted, distribution.ErrVersionMismatch if the record is not
@@ -51,6 +68,8 @@
 		return distribution.Version{}, distribution.ErrVersionMismatch
 	case response.Refusal == refusedPermanently:
 		return distribution.Version{}, fmt.Errorf("%w: %s", ErrChangeRefused, response.Reason)
+	case response.Reason == reasonNotLeader:
+		return distribution.Version{}, fmt.Errorf("%w: %w: %s", ErrUnanswered, errNotProposed, response.Reason)
 	}
 	return distribution.Version{}, fmt.Errorf("%w: %s", ErrUnanswered, response.Reason)
 }
@@ -60,11 +79,16 @@
 func (n *Node) proposeAtLeader(ctx context.Context, proposal distribution.Proposal) (memberResponse, error) {
 	switch leader := n.leaderName(); leader {
 	case "":
-		return memberResponse{}, ErrUnanswered
+		return memberResponse{}, fmt.Errorf("%w: %w", ErrUnanswered, errNotProposed)
 	case n.config.Name:
 		return n.acceptChange(proposal), nil
 	default:
-		response, err := n.callMember(ctx, leader, memberRequest{Change: &proposal})
+		conn, err := n.transport.dial(ctx, leader, connCalls)
+		if err != nil {
+			return memberResponse{}, fmt.Errorf("%w: %w: %w", ErrUnanswered, errNotProposed, err)
+		}
+		defer conn.Close()
+		response, err := roundTrip(conn, memberRequest{Change: &proposal})
 		if err != nil {
 			return memberResponse{}, fmt.Errorf("%w: %w", ErrUnanswered, err)
 		}
--- a/controller/connection_reader.go
+++ b/controller/connection_reader.go
@@ -20,6 +20,11 @@
 	in := intake.NewReader(c)
 	for {
 		size, err := c.readMessage(in)
+		select {
+		case <-c.closed: // what was read before, but not handled, is void
+			err = errClosed
+		default:
+		}
 		if err == nil {
 			c.lastMessageAt.Store(c.loop.clock())
 			err = c.handleMessage()
--- a/distribution/entry.go
+++ b/distribution/entry.go
@@ -57,4 +57,6 @@
 	Horizon uint64 `cbor:"2,keyasint,omitempty"`
 	// Entries are sorted by scope and name, and include tombstones.
 	Entries []Entry `cbor:"3,keyasint,omitempty"`
+	// Orders holds accepted proposals, oldest first, for the record of a voter.
+	Orders []AcceptedOrder `cbor:"5,keyasint,omitempty"`
 }
--- a/distribution/record.go
+++ b/distribution/record.go
@@ -1,6 +1,10 @@
 package distribution
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+	"slices"
+)
 
 // Proposal asks the voters for one change: all of its entries become one revision, or none of them
 // is applied.
@@ -17,6 +21,18 @@
 	AcceptedAt int64 `cbor:"4,keyasint,omitempty"`
 	// Entries have a scope, a name, and either a value or Deleted.
 	Entries []Entry `cbor:"5,keyasint,omitempty"`
+	// Order identifies the proposal, so that it is not accepted twice if it arrives again; the zero
+	// value means that it is not identified.
+	Order Order `cbor:"6,keyasint,omitempty"`
+}
+
+// Order is a random number that a proposer draws for each proposal.
+type Order uint64
+
+// AcceptedOrder is a proposal that was accepted, with the revision that it became.
+type AcceptedOrder struct {
+	Order    Order  `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
 }
 
 // Errors of Record.Apply. Their texts are sent to the proposer as the reason of the refusal and
@@ -40,6 +56,21 @@
 	ErrFull = errors.New("distribution: the configuration would be over its bound")
 )
 
+// AlreadyAcceptedError is returned for a proposal whose Order was accepted before. The proposal changes
+// nothing.
+type AlreadyAcceptedError struct {
+	// Version is the version that the record had when it had accepted the proposal.
+	Version Version
+}
+
+// Error returns a text with the version.
+func (e AlreadyAcceptedError) Error() string {
+	return fmt.Sprintf("distribution: the proposal was accepted as revision %d", e.Version.Revision)
+}
+
+// MaxAcceptedOrders is the number of accepted proposals that a record remembers, the newest ones.
+const MaxAcceptedOrders = 256
+
 // Bounds in bytes on proposals and on the record. They are the same at all voters, because each
 // voter decides by itself whether a proposal is accepted.
 const (
@@ -53,21 +84,27 @@
 // it, with State as the content of its snapshots. All calls must be serialized by the caller,
 // including those that only read the record.
 type Record struct {
-	store *store
+	store  *store
+	orders []AcceptedOrder // accepted proposals with an Order, oldest first; at most MaxAcceptedOrders
 }
 
 // NewRecord returns an empty record without an epoch. The first accepted proposal sets the epoch,
 // so that a record that is empty only because its predecessor was lost is not distributed.
-func NewRecord() *Record { return &Record{newStore(Version{}, AllScopes())} }
+func NewRecord() *Record { return &Record{store: newStore(Version{}, AllScopes())} }
 
 // RestoreRecord returns the record whose snapshot holds the given state.
-func RestoreRecord(state State) *Record { return &Record{storeFrom(state, AllScopes())} }
+func RestoreRecord(state State) *Record {
+	return &Record{store: storeFrom(state, AllScopes()), orders: slices.Clone(state.Orders)}
+}
 
 // Apply accepts a proposal as the next revision, or refuses all of it with ErrNoEpoch,
-// ErrVersionMismatch, ErrNoChange, ErrMalformed, ErrTooLarge or ErrFull. The result depends
-// only on the record and the proposal.
+// ErrVersionMismatch, ErrNoChange, ErrMalformed, ErrTooLarge or ErrFull, or with an
+// AlreadyAcceptedError. The result depends only on the record and the proposal.
 func (r *Record) Apply(p Proposal) (Change, error) {
 	version := r.store.version
+	if accepted, found := r.acceptedOrder(p.Order); found {
+		return Change{}, AlreadyAcceptedError{Version{Epoch: version.Epoch, Revision: accepted.Revision}}
+	}
 	if p.Conditional && p.Base != version {
 		return Change{}, ErrVersionMismatch
 	}
@@ -91,9 +128,22 @@
 	limits := DefaultLimits()
 	limits.LogChanges = 0 // a Record needs no log: the voter's Node makes deltas from its own log
 	r.store.compact(limits)
+	if p.Order != 0 {
+		r.orders = append(r.orders, AcceptedOrder{p.Order, change.Revision})
+		r.orders = r.orders[max(0, len(r.orders)-MaxAcceptedOrders):]
+	}
 	return change, nil
 }
 
+// acceptedOrder returns the accepted proposal with the given Order, if the record remembers it.
+func (r *Record) acceptedOrder(order Order) (accepted AcceptedOrder, found bool) {
+	i := slices.IndexFunc(r.orders, func(accepted AcceptedOrder) bool { return accepted.Order == order })
+	if order == 0 || i < 0 {
+		return AcceptedOrder{}, false
+	}
+	return r.orders[i], true
+}
+
 // effectiveEntries checks the entries of a proposal, and returns them without the deletions of
 // absent entries.
 func (r *Record) effectiveEntries(proposed []Entry) ([]Entry, error) {
@@ -167,7 +217,11 @@
 
 // State returns the complete record, for a snapshot. Later proposals do not modify the returned
 // entries.
-func (r *Record) State() State { return r.store.state() }
+func (r *Record) State() State {
+	state := r.store.state()
+	state.Orders = slices.Clone(r.orders)
+	return state
+}
 
 // Empty reports whether no proposal was ever accepted, so that a snapshot would have no content.
 func (r *Record) Empty() bool { return !r.store.version.Epoch.Known() }
--- a/distribution/record_test.go
+++ b/distribution/record_test.go
@@ -171,3 +171,37 @@
 			len(state.Entries), state.Horizon, DefaultTombstones+1, 2*excess+1)
 	}
 }
+
+// TestRecordAcceptsAnOrderOnce guards against a proposal that takes effect again when it is repeated,
+// before or after the record was restored from a snapshot.
+func TestRecordAcceptsAnOrderOnce(t *testing.T) {
+	r := newRecordWithEpoch(t)
+	propose := func(order Order, text string) error {
+		_, err := r.Apply(Proposal{Epoch: epoch, Order: order, Entries: []Entry{{Scope: "s", Name: "a", Value: value(text)}}})
+		return err
+	}
+	for order := Order(1); order <= MaxAcceptedOrders+1; order++ {
+		if err := propose(order, fmt.Sprint(order)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 2 {
+		digest, version := r.Digest(), r.Version()
+		for _, order := range []Order{2, MaxAcceptedOrders + 1} {
+			var already AlreadyAcceptedError
+			if err := propose(order, "again"); !errors.As(err, &already) || already.Version.Revision != uint64(order)+1 {
+				t.Errorf("order %d again returned %v, want that it became revision %d", order, err, order+1)
+			}
+		}
+		if r.Digest() != digest || r.Version() != version {
+			t.Error("a repeated order has changed the record")
+		}
+		r = RestoreRecord(r.State())
+	}
+	if got := len(r.State().Orders); got != MaxAcceptedOrders {
+		t.Errorf("the record remembers %d orders, want %d", got, MaxAcceptedOrders)
+	}
+	if propose(0, "x") != nil || propose(0, "y") != nil {
+		t.Error("proposals without an order were not accepted each time")
+	}
+}
