controller: a proxy whose input waits for memory is not silent

What was seen: beside 900 proxies with half a message, 189 were ended as silent after 9.3 s, and not told why, although they waited for memory that others held. A sound proxy with a large message would end in the same way.

Change: a connection whose reader waits for memory or for the event loop does not count as silent.

Result: TestEventLoop/a connection whose input waits for memory is not silent; it failed before, as the field it sets did not exist, and the connection was ended.

--- a/controller/connection.go
+++ b/controller/connection.go
@@ -52,6 +52,7 @@
 	finalReadStarted bool // whether the read deadline has passed, and the final read after it has begun
 
 	evicted       atomic.Bool  // whether evict was called
+	notRead       atomic.Bool  // whether the reader waits for memory or for the event loop, so that the peer's input is not read
 	lastMessageAt atomic.Int64 // time at which the last complete message was read, Unix time in µs
 
 	queue    *eventQueue   // events for the loop
--- a/controller/connection_reader.go
+++ b/controller/connection_reader.go
@@ -82,7 +82,10 @@
 	progress := func() {}
 	if size > c.limits.smallMessage {
 		stopReading := func() { c.readUntil(c.acceptedAt) }
+		c.notRead.Store(true)
 		c.lease, err = c.loop.messageMemory.Acquire(int64(size)*memoryPerMessageByte, c.closed, stopReading)
+		c.lastMessageAt.Store(c.loop.clock())
+		c.notRead.Store(false)
 		if errors.Is(err, intake.ErrTooLarge) {
 			return fmt.Errorf("a message of %d bytes: %w", size, errMessageTooLarge)
 		}
@@ -125,7 +128,9 @@
 	event, err := c.parseAndDispatch(parser, text, duplicate)
 	c.loop.parsers <- parser
 	if event != nil {
+		c.notRead.Store(true)
 		c.queue.put(event, c.closed, c.loop.stopped)
+		c.notRead.Store(false)
 	}
 	return err
 }
--- a/controller/eventloop_test.go
+++ b/controller/eventloop_test.go
@@ -133,6 +133,16 @@
 			t.Errorf("still connected: half-open %v, active %v", loop.isCurrent(halfOpen), loop.isCurrent(active))
 		}
 	})
+	t.Run("a connection whose input waits for memory is not silent", func(t *testing.T) {
+		// Guards against the end of a proxy that is not read because others hold all memory.
+		loop, _ := newIdleLoop(t)
+		waiting, silent := connectProxy(t, loop, 1, 0, false), connectProxy(t, loop, 2, 1, false)
+		waiting.notRead.Store(true)
+		advance(loop, 2*loop.limits.silenceTimeout+10*microsPerSecond, func() {})
+		if !loop.isCurrent(waiting) || loop.isCurrent(silent) {
+			t.Errorf("still connected: waiting %v, silent %v; want the waiting one alone", loop.isCurrent(waiting), loop.isCurrent(silent))
+		}
+	})
 	t.Run("a connection with many events delays the others by a few of them, and loses none", func(t *testing.T) {
 		// Guards against one client at full speed that fills the loop's inbox, so that the reports of
 		// others were dropped, and a hello waited for thousands of events.
--- a/controller/sessions.go
+++ b/controller/sessions.go
@@ -114,9 +114,10 @@
 // acknowledgement counts as outstanding from the time by which the channel has sent all queued
 // pushes. If another proxy has sent the same acknowledgement, the shorter limits.ackLagTimeout
 // applies too, from the time of the other proxy's acknowledgement on. The time in which the process
-// stalled does not count, because no message was read then.
+// stalled does not count, because no message was read then; nor is a proxy silent whose input waits
+// to be read.
 func (l *eventLoop) isSilent(session *session) bool {
-	if len(session.unacked) == 0 {
+	if len(session.unacked) == 0 || session.conn.notRead.Load() {
 		return false
 	}
 	oldest := session.unacked[0]
