--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -111,7 +111,7 @@
 
 func newAdmissionState(mode AdmissionMode, classes []Class) admissionState {
 	a := admissionState{
-		admissionScope:   newAdmissionScope(wholeFleet, len(classes)),
+		admissionScope:   newAdmissionScope(entireFleet, len(classes)),
 		mode:             mode,
 		quota:            make([]RequestsPerSecond, len(classes)),
 		countedRequests:  make([]float64, len(classes)),
@@ -183,7 +183,7 @@
 
 // limitName returns the name of the scope's limit in log lines.
 func (s *admissionScope) limitName() string {
-	if s.zone == wholeFleet {
+	if s.zone == entireFleet {
 		return "limit"
 	}
 	return fmt.Sprintf("limit of zone %d", s.zone)
@@ -239,7 +239,7 @@
 // table of a zone.
 func (c *Controller) publishLimitsOf(scope *admissionScope) (published bool) {
 	table, affected := AllTables, func(*proxyState) bool { return true }
-	if scope.zone != wholeFleet {
+	if scope.zone != entireFleet {
 		table = c.zoneTable(scope.zone)
 		affected = func(proxy *proxyState) bool { return c.usesTable(proxy, table) }
 	}
--- a/balancer/admission_scope.go
+++ b/balancer/admission_scope.go
@@ -9,13 +9,13 @@
 // belongs to. The demand of a zone's scope therefore includes the shared requests that the zone's
 // backends get, and the demand of the fleet includes the zone-local requests.
 
-// wholeFleet is the zone of the scope that holds all backends.
-const wholeFleet = -1
+// entireFleet is the zone of the scope that holds all backends.
+const entireFleet = -1
 
 // admissionScope holds what is known about the throughput of a group of backends, and the limit on
 // the requests that only these backends can serve.
 type admissionScope struct {
-	zone int // index of the zone whose backends belong to the scope, or wholeFleet
+	zone int // index of the zone whose backends belong to the scope, or entireFleet
 
 	// provenThroughput is the highest number of units per second that was admitted without a queue
 	// at the backends, divided by the published capacity; 0 if unknown.
@@ -49,7 +49,7 @@
 
 	coldStart      bool // nearly all of the weight in the tables is warming up
 	coldStartEnded bool // a cold start is over, and the limits are not yet divided again
-	heldBack       bool // backends that are warming up get no entry, since the demand would overload them
+	deferred       bool // backends that are warming up get no entry, since the demand would overload them
 	// demandRatio is the offered demand divided by the baseline demand, in units per request, at the
 	// last evaluation for which all proxies can have reported; 0 if unknown.
 	demandRatio float64
@@ -96,11 +96,11 @@
 
 // limitsClasses reports whether any class is limited by the limit of a scope.
 func (c *Controller) limitsClasses(scope *admissionScope) bool {
-	return scope.zone != wholeFleet || c.sharedClasses != 0
+	return scope.zone != entireFleet || c.sharedClasses != 0
 }
 
 // includes reports whether a backend or a proxy in the given zone belongs to the scope.
-func (s *admissionScope) includes(zone int) bool { return s.zone == wholeFleet || s.zone == zone }
+func (s *admissionScope) includes(zone int) bool { return s.zone == entireFleet || s.zone == zone }
 
 // unreducedWeight returns the published weight that a backend has in the scope, as if it were not
 // reduced: late answers do not diminish a backend's capacity.
@@ -111,7 +111,7 @@
 // weightOf returns the one of a backend's weights that counts in the scope.
 func (s *admissionScope) weightOf(backend *backendState, weights entryWeights) float64 {
 	switch s.zone {
-	case wholeFleet:
+	case entireFleet:
 		return weights.max()
 	case backend.Zone:
 		return weights.zone
--- a/balancer/cold_start.go
+++ b/balancer/cold_start.go
@@ -24,7 +24,7 @@
 // Where proxies ignore limits, the backends that are warming up are held back: they get no entry
 // until their weights can carry the demand. Where one of them has an entry, as it has restarted, the
 // entry is removed. This also happens without a cold start, if the weights fall far short of the
-// demand (heldBackTolerance).
+// demand (deferralTolerance).
 //
 // Inputs are listed and published weights, demand and proven throughputs.
 
@@ -32,9 +32,9 @@
 	// coldStartWeightShare is the share of a scope's listed weight from which backends that are
 	// warming up count as nearly all of the scope.
 	coldStartWeightShare = 2. / 3
-	// heldBackTolerance is the ratio of the demand to the throughput from which backends are held back
+	// deferralTolerance is the ratio of the demand to the throughput from which backends are held back
 	// that have entries already, or other backends beside them that can carry all of their weight.
-	heldBackTolerance = 1.5
+	deferralTolerance = 1.5
 )
 
 // updateColdStarts determines which scopes are in a cold start, and which of them hold back
@@ -56,13 +56,13 @@
 		wasCold := scope.coldStart
 		scope.coldStart = total > 0 && warming >= coldStartWeightShare*total
 		scope.coldStartEnded = scope.coldStartEnded || wasCold && !scope.coldStart
-		scope.heldBack = warming > 0 && c.mustHoldBack(scope, carried)
+		scope.deferred = warming > 0 && c.mustDefer(scope, carried)
 	}
 }
 
-// mustHoldBack reports whether backends that are warming up get no entry, because proxies ignore
+// mustDefer reports whether backends that are warming up get no entry, because proxies ignore
 // limits and their demand exceeds what the given weight can carry.
-func (c *Controller) mustHoldBack(scope *admissionScope, weight float64) bool {
+func (c *Controller) mustDefer(scope *admissionScope, weight float64) bool {
 	if c.admission.mode != AdmissionUnsupported || c.sharding.enabled() || !c.limitsClasses(scope) {
 		return false
 	}
@@ -70,8 +70,8 @@
 		return scope.coldStart // the demand of proxies that connect is not known before they are assigned tables
 	}
 	tolerance := 1.
-	if !scope.coldStart || c.anyWarmingUpPublished(scope) && !scope.heldBack {
-		tolerance = heldBackTolerance
+	if !scope.coldStart || c.anyWarmingUpPublished(scope) && !scope.deferred {
+		tolerance = deferralTolerance
 	}
 	return c.expectedDemand(scope) > tolerance*c.assumedThroughput(scope)*weight
 }
@@ -237,10 +237,10 @@
 	}
 }
 
-// isHeldBack reports whether a backend gets no entry in the tables of a scope because of a cold
+// isDeferred reports whether a backend gets no entry in the tables of a scope because of a cold
 // start.
-func (c *Controller) isHeldBack(scope *admissionScope, backend *backendState, now Microseconds) bool {
-	return scope.heldBack && c.warmingUp(backend, now)
+func (c *Controller) isDeferred(scope *admissionScope, backend *backendState, now Microseconds) bool {
+	return scope.deferred && c.warmingUp(backend, now)
 }
 
 // publishFirstLimits publishes the limits of scopes that are in a cold start, if no proxy uses their
--- a/balancer/demand.go
+++ b/balancer/demand.go
@@ -124,7 +124,7 @@
 // They do not count in that of the fleet while the proxy's zone has no entry, because no backend
 // gets them.
 func (c *Controller) countsIn(scope *admissionScope, proxy *proxyState, zonesWithEntries []bool) bool {
-	if scope.zone == wholeFleet {
+	if scope.zone == entireFleet {
 		return zonesWithEntries[proxy.zone]
 	}
 	return scope.includes(proxy.zone)
@@ -145,7 +145,7 @@
 func (c *Controller) offeredDemand(scope *admissionScope) float64 {
 	var load loadSummary
 	demand := c.connectedDemand()
-	if scope.zone != wholeFleet || len(c.admission.zones) > 0 {
+	if scope.zone != entireFleet || len(c.admission.zones) > 0 {
 		c.sumDemand(scope, demand, &load)
 		return load.offered
 	}
@@ -157,7 +157,7 @@
 
 // sharedShareOf returns the share of the shared classes' requests that the backends of a scope get.
 func (c *Controller) sharedShareOf(scope *admissionScope) float64 {
-	if scope.zone == wholeFleet {
+	if scope.zone == entireFleet {
 		return 1
 	}
 	inScope, total := 0., 0.
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -14,6 +14,7 @@
 //	sync.go           when a proxy that connects gets complete tables, or withdrawals until then
 //	pushqueue.go      how many lines may be queued for sending
 //	message_budget.go how many messages a proxy may be sent, and which are left for required changes
+//	reports.go        the events that report outcomes, health checks and demand
 //	overload.go       the summary of load reports
 //	admission.go      the limit on admitted requests under overload
 //	admission_scope.go     the fleet and its zones, which are limited by themselves
--- a/balancer/overload.go
+++ b/balancer/overload.go
@@ -73,7 +73,7 @@
 	if outcomes.attempts == 0 || requests == 0 {
 		return load
 	}
-	if scope.zone == wholeFleet {
+	if scope.zone == entireFleet {
 		a.meanObjective = load.admitted / requests * float64(second)
 	}
 	load.meanObjective = a.meanObjective
--- a/balancer/publication.go
+++ b/balancer/publication.go
@@ -149,7 +149,7 @@
 // mustVacate reports whether proxies must stop using a backend in the tables of a scope, even if
 // these get no other entry.
 func (c *Controller) mustVacate(scope *admissionScope, backend *backendState, now Microseconds) bool {
-	return c.mustLeave(backend) || c.isHeldBack(scope, backend, now)
+	return c.mustLeave(backend) || c.isDeferred(scope, backend, now)
 }
 
 // emptiesTable reports whether a change of a backend's entries to their targets would take the last
--- a/balancer/subset.go
+++ b/balancer/subset.go
@@ -232,8 +232,8 @@
 		if !c.inTable(backend, table) {
 			continue
 		}
-		heldBack := c.isHeldBack(c.scopeOfTable(table), backend, c.host.Now())
-		size.anyUsable = size.anyUsable || c.usable(backend) && !heldBack
+		deferred := c.isDeferred(c.scopeOfTable(table), backend, c.host.Now())
+		size.anyUsable = size.anyUsable || c.usable(backend) && !deferred
 		if c.weightIn(backend.published, table) > 0 {
 			size.entries++
 		}
--- a/balancer/table_content.go
+++ b/balancer/table_content.go
@@ -72,12 +72,12 @@
 		}
 		fleet, zone := &c.admission.admissionScope, c.zoneScope(backend.Zone)
 		withheld := c.withheld(fleet, backend, now)
-		if (backend.ejected || withheld) && !c.isHeldBack(fleet, backend, now) {
+		if (backend.ejected || withheld) && !c.isDeferred(fleet, backend, now) {
 			subset := contents[backend.subset]
 			bridges := !withheld && (backend.published.subset > 0 || subset.entries == 0)
 			backend.keptInSubset = subset.noneQualifies() && (noneInFleet || bridges)
 		}
-		if (backend.ejected || c.withheld(zone, backend, now)) && !c.isHeldBack(zone, backend, now) {
+		if (backend.ejected || c.withheld(zone, backend, now)) && !c.isDeferred(zone, backend, now) {
 			backend.keptInZone = contents[c.zoneTable(backend.Zone)].noneQualifies()
 		}
 	}
@@ -92,8 +92,8 @@
 func (c *Controller) keepWeightOfZones(contents []tableContent) {
 	var ejected []*backendState
 	for _, backend := range c.backends {
-		heldBack := c.isHeldBack(c.zoneScope(backend.Zone), backend, c.host.Now())
-		if c.usable(backend) && backend.ejected && !backend.keptInZone && !heldBack {
+		deferred := c.isDeferred(c.zoneScope(backend.Zone), backend, c.host.Now())
+		if c.usable(backend) && backend.ejected && !backend.keptInZone && !deferred {
 			ejected = append(ejected, backend)
 		}
 	}
--- a/balancer/weight.go
+++ b/balancer/weight.go
@@ -107,8 +107,8 @@
 // this controller started during an overload, even if no warm backend is listed any more.
 func (c *Controller) withholdWarmingUp(scope *admissionScope) bool {
 	unlimitedOverload := c.admission.mode == AdmissionUnsupported && scope.latencyRatio > overloadedRatio
-	noReportYet := c.admission.meanObjective == 0 || scope.zone != wholeFleet && !scope.evaluated
-	return scope.heldBack || unlimitedOverload || noReportYet && c.warmEverListed
+	noReportYet := c.admission.meanObjective == 0 || scope.zone != entireFleet && !scope.evaluated
+	return scope.deferred || unlimitedOverload || noReportYet && c.warmEverListed
 }
 
 // reduceWeight lowers the weight of a lagging backend. It assumes that the backend answers late
--- a/distribution/record.go
+++ b/distribution/record.go
@@ -31,7 +31,9 @@
 
 // AcceptedOrder is a proposal that was accepted, with the revision that it became.
 type AcceptedOrder struct {
-	Order    Order  `cbor:"1,keyasint"`
+	// Order identifies the proposal.
+	Order Order `cbor:"1,keyasint"`
+	// Revision is the revision that the proposal became.
 	Revision uint64 `cbor:"2,keyasint"`
 }
 
