controller: a cold proxy is told which backends it may use again

Cause: `cold` says that a proxy holds no ordered table, and was taken for "shuts nothing out".

Change: for a cold proxy, backends that this controller has withdrawn, or whose start is on the list, are restored with their first entries, and the lines are counted. Others cost nothing.

--- a/balancer/controller.go
+++ b/balancer/controller.go
@@ -253,6 +253,7 @@
 		tablesAssigned:            c.sharding.enabled(),
 		mayHoldForeignWithdrawals: mayHoldForeignWithdrawals,
 		messageTimes:              previous.peerMessageTimes,
+		heldWithdrawals:           previous.heldByNext,
 		peersReportedMessages:     previous.peerMessageTimes != nil,
 	}
 	c.addZoneScopes(zone)
@@ -298,6 +299,16 @@
 	}
 }
 
+// WithdrawalsHeld handles the number of backends that a proxy, which connects next and has no table of
+// any controller, may have been told not to use. The first entry of such a backend lifts its
+// withdrawal at the proxy, which costs one more line.
+func (c *Controller) WithdrawalsHeld(id, backends int) {
+	for len(c.proxies) <= id {
+		c.proxies = append(c.proxies, &proxyState{})
+	}
+	c.proxies[id].heldByNext = float64(backends)
+}
+
 // SeedDemand sets the demand of a proxy that connected to this controller to the rates that another
 // controller measured, in requests per second by class.
 func (c *Controller) SeedDemand(id int, rates []RequestsPerSecond) { copy(c.proxies[id].demand, rates) }
--- a/balancer/proxy.go
+++ b/balancer/proxy.go
@@ -26,8 +26,11 @@
 	// proxy, which costs one more line.
 	withdrawalsCleared bool
 	// heldWithdrawals is the number of withdrawals that this controller sent to the proxy before
-	// its tables. A first entry that lifts one of these withdrawals costs one more line too.
+	// its tables, or that the proxy held when it connected. A first entry that lifts one of these
+	// withdrawals costs one more line too.
 	heldWithdrawals float64
+	// heldByNext is the number of withdrawals that the proxy may hold when it connects next.
+	heldByNext float64
 
 	// acknowledged is the number of the latest push batch that the proxy has acknowledged. The proxy
 	// has received all batches up to this number.
--- a/controller/endpoints.go
+++ b/controller/endpoints.go
@@ -15,6 +15,9 @@
 	for _, server := range servers {
 		if endpoint, ok := l.decodeEndpoint(server); ok {
 			endpoints = l.withOverrides(endpoints, endpoint)
+			if endpoint.StartedAt > 0 {
+				l.noteMaybeWithdrawn(endpoint.Backend) // it may have left before it started
+			}
 			listed[endpoint.Backend] = endpoint.State != balancer.Removed
 		}
 	}
--- a/controller/ownership_host.go
+++ b/controller/ownership_host.go
@@ -108,6 +108,7 @@
 	state.unowned, state.knownTables = false, grant.Base
 	if grant.NoWithdrawals {
 		state.mayHoldWithdrawals, pending.mayHoldWithdrawals = false, false
+		state.maybeWithdrawn = nil
 	}
 	if state.wantsToken {
 		state.grantToken = grant.Token
@@ -116,6 +117,7 @@
 		"withdrawals_known", grant.NoWithdrawals, "messages_sent", grant.SentMessages)
 	decisions := h.loop.decisions
 	decisions.MessagesSentByPeers(grant.Proxy, grant.SentMessages)
+	decisions.WithdrawalsHeld(grant.Proxy, state.countMaybeWithdrawn())
 	decisions.ProxyConnected(grant.Proxy, pending.zone, pending.requestsPerSecond, pending.mayHoldWithdrawals)
 	decisions.SeedDemand(grant.Proxy, grant.Demand)
 }
--- a/controller/sessions.go
+++ b/controller/sessions.go
@@ -59,6 +59,7 @@
 		l.ownership.addPendingProxy(conn.proxy, pendingProxy{conn.zone, requestsPerSecond, mayHoldWithdrawals})
 		return
 	}
+	l.decisions.WithdrawalsHeld(conn.proxy, state.countMaybeWithdrawn())
 	l.decisions.ProxyConnected(conn.proxy, conn.zone, requestsPerSecond, mayHoldWithdrawals)
 }
 
--- a/controller/tables.go
+++ b/controller/tables.go
@@ -20,6 +20,9 @@
 	byNumber              map[int]*table
 	admissionLimitsForAll []admissionLimit // limit of each class for all tables of all connected proxies
 	withdrawn             []bool           // whether each backend is withdrawn, by backend index
+	// maybeWithdrawn holds, by backend index, whether any controller may have withdrawn the backend
+	// before now: this one has, or the backend has started anew.
+	maybeWithdrawn []bool
 	// proxies holds the state of each proxy, by proxy number; nil if the proxy is not connected.
 	proxies []*pushState
 
@@ -102,6 +105,10 @@
 
 	// State that the proxy had before it connected.
 	mayHoldWithdrawals bool // whether other controllers may have withdrawn backends from the proxy
+	// maybeWithdrawn holds, by backend index, which backends may be withdrawn from a proxy that has no
+	// table of any controller. Such a proxy keeps withdrawals, too. It is nil if mayHoldWithdrawals is
+	// set, or if it is known that the proxy holds none.
+	maybeWithdrawn []bool
 	// knownTables holds, by class, the table that the proxy is known to have until this controller
 	// writes a table to the proxy; nil if the tables are unknown.
 	knownTables []ownership.KnownTable
@@ -130,9 +137,20 @@
 	t.proxies[proxy] = &pushState{conn: conn, mayHoldWithdrawals: mayHoldWithdrawals,
 		admissionLimits: make([]admissionLimit, len(t.classNames)),
 		tables:          slices.Repeat([]int{unassigned}, len(t.classNames))}
+	if !mayHoldWithdrawals {
+		t.proxies[proxy].maybeWithdrawn = slices.Clone(t.maybeWithdrawn)
+	}
 	return t.proxies[proxy]
 }
 
+// noteMaybeWithdrawn notes that proxies may hold a withdrawal of a backend.
+func (t *tables) noteMaybeWithdrawn(backend int) {
+	for len(t.maybeWithdrawn) <= backend {
+		t.maybeWithdrawn = append(t.maybeWithdrawn, false)
+	}
+	t.maybeWithdrawn[backend] = true
+}
+
 // disconnect discards the state of a proxy.
 func (t *tables) disconnect(proxy int) { t.proxies[proxy] = nil }
 
@@ -208,6 +226,7 @@
 		t.withdrawn = append(t.withdrawn, false)
 	}
 	t.withdrawn[backend] = withdrawn
+	t.noteMaybeWithdrawn(backend)
 	t.withdrawalChanges = append(t.withdrawalChanges, backend)
 	t.markDirty(func(proxy *pushState) bool {
 		// The table that the proxy uses for an unassigned class may contain the backend.
@@ -335,18 +354,38 @@
 	if backend < len(t.withdrawn) {
 		t.withdrawn[backend] = false
 	}
+	if backend < len(t.maybeWithdrawn) {
+		t.maybeWithdrawn[backend] = false
+	}
 	for _, proxy := range t.proxies {
-		if proxy != nil && backend < len(proxy.backendStates) {
-			proxy.backendStates[backend] = proxy.initialState()
+		if proxy == nil {
+			continue
+		}
+		if backend < len(proxy.maybeWithdrawn) {
+			proxy.maybeWithdrawn[backend] = false
+		}
+		if backend < len(proxy.backendStates) {
+			proxy.backendStates[backend] = proxy.initialState(backend)
 		}
 	}
 	return true
 }
 
+// countMaybeWithdrawn returns the number of backends that may be withdrawn from a proxy that had no
+// table.
+func (p *pushState) countMaybeWithdrawn() (count int) {
+	for _, maybe := range p.maybeWithdrawn {
+		if maybe {
+			count++
+		}
+	}
+	return count
+}
+
 // initialState returns the state of a backend at a proxy before the first message to the proxy that
 // refers to the backend.
-func (p *pushState) initialState() backendState {
-	if p.mayHoldWithdrawals {
+func (p *pushState) initialState(backend int) backendState {
+	if p.mayHoldWithdrawals || backend < len(p.maybeWithdrawn) && p.maybeWithdrawn[backend] {
 		return backendUnknown
 	}
 	return backendAllowed
--- a/controller/tables_encode.go
+++ b/controller/tables_encode.go
@@ -218,6 +218,8 @@
 // balancer.Controller assumes that ClearWithdrawals leaves only the withdrawals of this process.
 // Therefore, after ClearWithdrawals for a proxy, each backend that its tables contain and that may
 // still be withdrawn from it is restored: in its next message, or with a later entry for the backend.
+// A proxy that had no table needs no ClearWithdrawals: those of its backends that may be withdrawn
+// (pushState.maybeWithdrawn) are restored with their first entries.
 func (t *tables) writeWithdrawals(proxy *pushState, w *messageWriter) {
 	var withdrawn, restored [][]byte
 	for _, backend := range t.uncertainBackends(proxy) {
@@ -232,7 +234,7 @@
 			if *state != backendWithdrawn {
 				withdrawn, *state = append(withdrawn, t.backendName(backend)), backendWithdrawn
 			}
-		case *state == backendWithdrawn || *state == backendUnknown && (proxy.cleared || mayUse):
+		case *state == backendWithdrawn || *state == backendUnknown && (proxy.cleared || mayUse || !proxy.mayHoldWithdrawals):
 			restored, *state = append(restored, t.backendName(backend)), backendAllowed
 		}
 	}
@@ -249,7 +251,7 @@
 // stateOf returns a pointer to the state of a backend that was last written to a proxy.
 func (p *pushState) stateOf(backend int) *backendState {
 	for len(p.backendStates) <= backend {
-		p.backendStates = append(p.backendStates, p.initialState())
+		p.backendStates = append(p.backendStates, p.initialState(len(p.backendStates)))
 	}
 	return &p.backendStates[backend]
 }
