consensus: an order that changes nothing is confirmed by the record

Cause: the order was compared with the member's own copy of the record, however old.

Change: where the copy agrees, a change without entries is proposed on its version; the record refuses it as a change of nothing only if that version is current.

TestUnchangedConfigurationIsConfirmed is new; on the code before, the call returned without an error by its first lines.

--- a/consensus/propose_change.go
+++ b/consensus/propose_change.go
@@ -14,8 +14,9 @@
 )
 
 // ReplaceConfiguration makes the configuration record hold exactly the wanted entries, by one
-// change. It returns the version after the change and the number of entries that differed; if none
-// differed it proposes nothing and returns 0. While the outcome is unknown it proposes the same change
+// change. It returns the version after the change and the number of entries that differed. If none
+// differed from this member's copy of the record, it proposes a change without entries, which the
+// record refuses as such if the copy is current, and returns 0. While the outcome is unknown it proposes the same change
 // again every pollInterval, until the context ends; the record accepts it once at most. If the record
 // has changed since the proposal was made, it makes a new one, unless an earlier outcome was unknown:
 // others may then have changed the record knowing better, and it returns ErrChangeRefused. Its other
@@ -24,10 +25,11 @@
 	version distribution.Version, differing int, err error) {
 	proposal, anyUnanswered := n.difference(wanted), false
 	for {
-		if len(proposal.Entries) == 0 {
+		version, err = n.ProposeChange(ctx, proposal)
+		isEmpty := len(proposal.Entries) == 0
+		if isEmpty && errors.Is(err, distribution.ErrNoChange) {
 			return proposal.Base, 0, nil
 		}
-		version, err = n.ProposeChange(ctx, proposal)
 		mismatch := errors.Is(err, distribution.ErrVersionMismatch)
 		switch {
 		case err == nil || errors.Is(err, ErrChangeRefused):
@@ -41,7 +43,7 @@
 		if mismatch {
 			proposal = n.difference(wanted)
 		}
-		anyUnanswered = anyUnanswered || !mismatch && !errors.Is(err, errNotProposed)
+		anyUnanswered = anyUnanswered || !mismatch && !isEmpty && !errors.Is(err, errNotProposed)
 	}
 }
 
@@ -66,6 +68,8 @@
 		return *response.Version, nil
 	case response.Refusal == refusedVersionMismatch:
 		return distribution.Version{}, distribution.ErrVersionMismatch
+	case response.Refusal == refusedPermanently && response.Reason == refusalReason(distribution.ErrNoChange):
+		return distribution.Version{}, fmt.Errorf("%w: %w", ErrChangeRefused, distribution.ErrNoChange)
 	case response.Refusal == refusedPermanently:
 		return distribution.Version{}, fmt.Errorf("%w: %s", ErrChangeRefused, response.Reason)
 	case response.Reason == reasonNotLeader:
--- a/consensus/repeated_change_test.go
+++ b/consensus/repeated_change_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"testing"
+	"time"
 
 	"wheelrill/distribution"
 )
@@ -92,3 +94,27 @@
 }
 
 func callerOf(members ...string) caller { return caller{members: members} }
+
+// TestUnchangedConfigurationIsConfirmed guards against a voter that is cut off and answers an order by its
+// own old copy of the record, as if the order were in force already.
+func TestUnchangedConfigurationIsConfirmed(t *testing.T) {
+	addresses := freeAddresses(t, "a", "b", "c")
+	members := map[string]*runningMember{}
+	for name := range addresses {
+		members[name] = startMember(t, Config{Name: name, Members: addresses, Distribution: &fakeDistribution{}})
+	}
+	version, _ := configure(t, members["a"], entry("x", "1"))
+	waitUntil(t, "all members have the change", func() bool {
+		return holds(members["a"], entry("x", "1")) && holds(members["b"], entry("x", "1")) && holds(members["c"], entry("x", "1"))
+	})
+	if same, differing := configure(t, members["c"], entry("x", "1")); same != version || differing != 0 {
+		t.Errorf("the same entries again: got version %v with %d differing entries, want %v with 0", same, differing, version)
+	}
+	members["a"].stop()
+	members["b"].stop()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	if _, _, err := members["c"].ReplaceConfiguration(ctx, []distribution.Entry{entry("x", "1")}); !errors.Is(err, ErrUnanswered) {
+		t.Errorf("without a majority: got error %v, want %v", err, ErrUnanswered)
+	}
+}
