controller: a burst of reports is read at once, whatever the tick of the settings is

Change: a connection is read at 32,000 messages or 16 MiB a second, after a burst of 64 ms of that, and a collector has room for 1,024 events.

--- a/controller/connection.go
+++ b/controller/connection.go
@@ -72,7 +72,6 @@
 	c := &connection{
 		socket: socket, sequence: sequence, limits: loop.limits, loop: loop, log: loop.log, register: register,
 		proxy: -1, zone: -1, acceptedAt: time.Now(),
-		pace:     pace{limits: loop.limits},
 		queue:    loop.queues.newQueue(),
 		outbox:   make(chan []byte, loop.limits.outboxSize),
 		readDone: make(chan struct{}),
@@ -141,6 +140,9 @@
 		c.kind = kindUnidentified
 		return err
 	}
+	if kind == kindCollector {
+		c.queue.setLimit(c.limits.eventsPerCollector)
+	}
 	c.readUntil(time.Time{})
 	return nil
 }
--- a/controller/event_queues.go
+++ b/controller/event_queues.go
@@ -22,6 +22,7 @@
 type eventQueue struct {
 	queues *eventQueues
 	events []func()
+	limit  int           // greatest number of events
 	inTurn bool          // whether the queue is in eventQueues.turns
 	space  chan struct{} // receives a value when events were taken from a full queue
 }
@@ -31,7 +32,14 @@
 }
 
 func (q *eventQueues) newQueue() *eventQueue {
-	return &eventQueue{queues: q, space: make(chan struct{}, 1)}
+	return &eventQueue{queues: q, limit: q.limit, space: make(chan struct{}, 1)}
+}
+
+// setLimit changes the greatest number of events.
+func (q *eventQueue) setLimit(limit int) {
+	q.queues.mutex.Lock()
+	defer q.queues.mutex.Unlock()
+	q.limit = limit
 }
 
 // put adds an event, and waits while the queue is full. It drops the event if one of the channels is
@@ -52,7 +60,7 @@
 func (q *eventQueue) tryPut(event func()) bool {
 	q.queues.mutex.Lock()
 	defer q.queues.mutex.Unlock()
-	if len(q.events) >= q.queues.limit {
+	if len(q.events) >= q.limit {
 		return false
 	}
 	q.add(event)
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -72,6 +72,9 @@
 	// eventsPerConnection bounds the events of one connection that wait for the event loop. At the
 	// bound, the connection is not read.
 	eventsPerConnection int
+	// eventsPerCollector is that bound for collectors, of which there are few, and which send the
+	// reports of a whole zone at once.
+	eventsPerCollector int
 	// receiveBuffer is the size in bytes of the system's buffer for what a connection has received,
 	// but this process has not read.
 	receiveBuffer int
@@ -192,6 +195,7 @@
 		maxFirstFrame:      16 << 10,
 		maxParts:           64,
 		smallMessage:       4 << 10,
+		eventsPerCollector: 1024,
 		receiveBuffer:      64 << 10,
 		inboxSize:          4096,
 		eventsPerIteration: 1024,
--- a/controller/pace.go
+++ b/controller/pace.go
@@ -3,30 +3,32 @@
 import "time"
 
 const (
-	// messagesPerTick is the number of messages that are read from a connection within limits.tick.
-	messagesPerTick = 32
-	// bytesPerTick is the number of bytes of messages that are read from a connection within
-	// limits.tick. A longer message takes the time of as many ticks as it has such parts.
-	bytesPerTick = 32 << 10
+	// timePerMessage and timePerKibibyte are the times that reading a message takes of a
+	// connection's time: what a message takes is the longer one of timePerMessage and that of its
+	// bytes.
+	timePerMessage  = time.Second / 32_000
+	timePerKibibyte = time.Second / (16 << 10)
+	// burstTime is the time by which a connection may be ahead, so that a burst of reports is read
+	// at once.
+	burstTime = 64 * time.Millisecond
+	// paceInterval is the time for which a connection that is ahead by burstTime is not read.
+	paceInterval = 4 * time.Millisecond
 )
 
 // pace delays a connection that sends without a pause, so that it cannot keep the processor from the
 // other connections. The reader of the connection owns it.
 type pace struct {
-	limits   *limits
-	since    time.Time // start of the present period
-	messages int       // number of messages read in the period
-	bytes    int       // number of bytes of these messages
+	takenUntil time.Time // time until which the messages read so far take the connection's time
 }
 
 // add counts a message, and waits until the next one may be read.
 func (p *pace) add(size int) {
-	p.messages++
-	p.bytes += size
-	if p.messages < messagesPerTick && p.bytes < bytesPerTick {
-		return
+	now := time.Now()
+	if p.takenUntil.Before(now) {
+		p.takenUntil = now
+	}
+	p.takenUntil = p.takenUntil.Add(max(timePerMessage, time.Duration(size)*timePerKibibyte/1024))
+	if ahead := p.takenUntil.Sub(now); ahead > burstTime {
+		time.Sleep(ahead - burstTime + paceInterval)
 	}
-	ticks := max(1, p.bytes/bytesPerTick)
-	time.Sleep(time.Until(p.since.Add(time.Duration(ticks) * p.limits.tick)))
-	p.since, p.messages, p.bytes = time.Now(), 0, 0
 }
