controller: large messages that wait to be reduced do not hold up the end

Cause: large messages are reduced one at a time, in some 0.2 s each, and neither the wait for that nor the reduction ended with the connection, so SIGTERM could have waited for several of them.

Change: both end as soon as the connection is closed.

--- a/controller/connection_reader.go
+++ b/controller/connection_reader.go
@@ -117,10 +117,7 @@
 	text, duplicate := c.body, false
 	if len(text) > c.limits.smallMessage {
 		var err error
-		c.loop.largeMessages <- struct{}{} // one large message is reduced at a time
-		text, duplicate, err = reduceMessage(text, func() { time.Sleep(largeMessagePause) })
-		<-c.loop.largeMessages
-		if err != nil {
+		if text, duplicate, err = c.reduceMessage(); err != nil {
 			return err
 		}
 	}
@@ -135,6 +132,25 @@
 	return err
 }
 
+// reduceMessage reduces the message in body. One large message is reduced at a time. Both the wait for
+// that and the reduction end with the connection.
+func (c *connection) reduceMessage() (reduced []byte, duplicateKey bool, err error) {
+	select {
+	case c.loop.largeMessages <- struct{}{}:
+	case <-c.closed:
+		return nil, false, errClosed
+	}
+	defer func() { <-c.loop.largeMessages }()
+	return reduceMessage(c.body, func() error {
+		select {
+		case <-c.closed:
+			return errClosed
+		case <-time.After(largeMessagePause):
+			return nil
+		}
+	})
+}
+
 // parseAndDispatch returns the event that a message leads to, if any. duplicate states that a key
 // occurs twice in a message that was reduced.
 func (c *connection) parseAndDispatch(parser *fastjson.Parser, text []byte, duplicate bool) (event func(), err error) {
--- a/controller/large_message.go
+++ b/controller/large_message.go
@@ -41,16 +41,16 @@
 type messageReducer struct {
 	decoder *json.Decoder
 	seed    maphash.Seed
-	pause   func() // called after each tokensPerPause tokens
-	tokens  int    // number of tokens read
+	pause   func() error // called after each tokensPerPause tokens; its error ends the reduction
+	tokens  int          // number of tokens read
 	// duplicateKey is set once a key occurs twice in the same object.
 	duplicateKey bool
 }
 
 // reduceMessage returns a message without the fields that this controller does not read, and reports
 // whether a key occurs twice in any object of the message. It returns errUnreadable for text that is
-// no JSON object.
-func reduceMessage(text []byte, pause func()) (reduced []byte, duplicateKey bool, err error) {
+// no JSON object, and the error of pause.
+func reduceMessage(text []byte, pause func() error) (reduced []byte, duplicateKey bool, err error) {
 	reducer := &messageReducer{decoder: json.NewDecoder(bytes.NewReader(text)), seed: maphash.MakeSeed(), pause: pause}
 	reducer.decoder.UseNumber()
 	token, err := reducer.next()
@@ -69,7 +69,9 @@
 // next reads a token.
 func (r *messageReducer) next() (json.Token, error) {
 	if r.tokens++; r.tokens%tokensPerPause == 0 {
-		r.pause()
+		if err := r.pause(); err != nil {
+			return nil, err
+		}
 	}
 	return r.decoder.Token()
 }
