controller: a member's record node is an interface

Cause: tests of members that share their proxies need real sockets and the real clock, because the host of the coordinator holds a consensus.Node. A check that draws kills, cuts and freezes in virtual time cannot be written that way.

Change: ownershipHost holds a recordNode (Run, Propose), and startSharing does what ShareOwnership did after the node was made. Nothing else changes.

--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -46,24 +46,30 @@
 	if config.Name == "" {
 		config.Name = c.configuration.Name
 	}
-	loop := c.loop
 	terms, err := c.leaseTerms(config)
 	if err != nil {
 		return err
 	}
-	host := &ownershipHost{loop: loop, pending: map[int]pendingProxy{}, evidence: ownership.NewEvidence(), terms: terms}
+	host := &ownershipHost{loop: c.loop, pending: map[int]pendingProxy{}, evidence: ownership.NewEvidence(), terms: terms}
 	if host.node, err = c.newConsensusNode(config, host); err != nil {
 		return err
 	}
+	return c.startSharing(config.Name, host)
+}
+
+// startSharing makes the controller a member with the given name, whose entries the node of the host
+// replicates.
+func (c *Controller) startSharing(name string, host *ownershipHost) (err error) {
+	loop := c.loop
 	// The balancer.Controller that New made assumes that no other controller writes to the proxies.
 	// Replace it and its timers by a balancer.Controller that has this member's share of the
 	// messages.
 	loop.timers = nil
-	if loop.decisions, err = c.configuration.newDecisions(loop, c.memberChannel(terms)); err != nil {
+	if loop.decisions, err = c.configuration.newDecisions(loop, c.memberChannel(host.terms)); err != nil {
 		return err
 	}
 	loop.ownership = host
-	host.coordinator = ownership.New(host, config.Name, terms, loop.now)
+	host.coordinator = ownership.New(host, name, host.terms, loop.now)
 	host.coordinatorTick(loop.now)
 	return nil
 }
--- a/controller/ownership_host.go
+++ b/controller/ownership_host.go
@@ -5,17 +5,24 @@
 	"log/slog"
 	"time"
 
-	"wheelrill/consensus"
 	"wheelrill/ownership"
 )
 
+// recordNode replicates the ownership record. A consensus.Node is one.
+type recordNode interface {
+	// Run takes part in the replication until ctx ends.
+	Run(ctx context.Context)
+	// Propose proposes an entry for the record. The answer is a call of ownershipHost's coordinator.
+	Propose(entry ownership.Entry)
+}
+
 // ownershipHost is the host of the ownership coordinator: it connects the shared ownership of
 // proxies with balancer.Controller, the tables and the connections. The event loop owns it. Only
 // the consensus node has goroutines of its own, which Controller.Serve starts and waits for.
 type ownershipHost struct {
 	loop        *eventLoop
 	coordinator *ownership.Coordinator
-	node        *consensus.Node
+	node        recordNode
 	terms       ownership.LeaseTerms
 	evidence    *ownership.Evidence // observations by this member's proxies that no proposed entry contains yet
 
