Sharing: messages keep a pace that is safe without knowledge; nothing is divided

Cause: the limit of messages to a proxy was divided beforehand (ownership/terms.go): of 12 messages the owner of a proxy had 8 of two members, 7 of three, 1 of five. A drain may wait 0.87 s with these settings, so a window needs 12 messages, and any share that is kept breaks the rule at some pace. Besides, a round of changes waited for every proxy (roundDelay).

Change: messages to a proxy go W/M apart (W the window and the longest latency, M the limit), the first one W/M after the proxy dialled (balancer/message_pace.go). A message that waits for the record counts from its release, and no other is sent to the proxy before. A proxy that may be sent none is held: its changes collect and go in one message later. Quotas, grant counts and leader clocks are gone.

Why it works: a proxy is with one controller at a time, and none writes to it before it dials. Messages of all controllers are W/M apart, so M+1 span at least W, whatever a member has forgotten. W/M is no longer than the grace less the longest latency where messages suffice at all.

--- a/balancer/config.go
+++ b/balancer/config.go
@@ -110,6 +110,9 @@
 	MaxMessages int
 	// MessageWindow is the length of the period to which MaxMessages applies.
 	MessageWindow Microseconds
+	// SharedProxies means that MaxMessages applies to the messages of several controllers together,
+	// which proxies move between, see message_pace.go.
+	SharedProxies bool
 	// Proxies is the number of proxies at all controllers together; 0 means that it is unknown.
 	Proxies int
 	// MinBackendConnections is the number of connections that the smallest backend accepts; 0 means
--- a/balancer/controller.go
+++ b/balancer/controller.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"slices"
@@ -24,7 +25,7 @@
 // no longer needs it drops it.
 //
 // Reports about a backend that was never listed are ignored. Other indices must be known: the index
-// of a proxy must have been passed to ProxyConnected or MessagesSentByPeers before, and the index
+// of a proxy must have been passed to ProxyConnected or PeersMaySendUntil before, and the index
 // of a class or shard must be below the number of classes or shards. An event with an unknown index
 // is an error of the caller, and panics.
 type Controller struct {
@@ -77,6 +78,9 @@
 	// required changes.
 	nextTickAt      Microseconds
 	deadlineTimerAt Microseconds // time of the last timer for the deadline of required changes
+	paceTimerAt     Microseconds // time of the last timer for a message that the pace does not permit yet
+	// roundUrgency is the urgency of the changes that are sent to several proxies at present.
+	roundUrgency messageUrgency
 	// loggedDelay is the reason that was logged last for the delay of the pending required changes.
 	loggedDelay roundDelay
 	panicTables map[int]bool // tables in panic mode (table_content.go), by table index
@@ -98,7 +102,8 @@
 		rules:          config.Rules,
 		telemetry:      config.Telemetry,
 		classes:        config.Classes,
-		pushQueue:      pushQueue{PushChannel: config.Channel},
+		pushQueue:      pushQueue{PushChannel: config.Channel, pace: newMessagePace(config.Channel, config.Rules.DrainGrace)},
+		roundUrgency:   requiredMessage,
 		sharding:       newShardingState(config.Sharding, config.Classes),
 		admission:      newAdmissionState(config.Admission, config.Classes),
 		evaluatedAt:    host.Now(),
@@ -121,7 +126,7 @@
 
 // TimerFired handles the end of a timer. Each tick checks the changes that wait for time to pass,
 // or for capacity in the push channel. A timer before the next tick is for the deadline of required
-// changes.
+// changes, or for a message that the pace did not permit before.
 func (c *Controller) TimerFired(tag uint64) {
 	if tag != c.timerTag() {
 		return // the timer was set by an earlier incarnation
@@ -235,13 +240,11 @@
 // its own tables, as soon as the push channel has capacity. mayHoldForeignWithdrawals states that
 // the proxy may hold withdrawals of other controllers.
 func (c *Controller) ProxyConnected(id, zone int, baseline RequestsPerSecond, mayHoldForeignWithdrawals bool) {
-	for len(c.proxies) <= id {
-		c.proxies = append(c.proxies, &proxyState{})
-	}
 	now := c.host.Now()
-	previous := c.proxies[id]
+	previous := c.stateOf(id)
 	classCount := len(c.classes)
 	c.proxies[id] = &proxyState{
+		id:           id,
 		connected:    true,
 		connectedAt:  now,
 		zone:         zone,
@@ -252,22 +255,33 @@
 		demand:                    slices.Repeat([]float64{baseline / float64(classCount)}, classCount),
 		tablesAssigned:            c.sharding.enabled(),
 		mayHoldForeignWithdrawals: mayHoldForeignWithdrawals,
-		messageTimes:              previous.peerMessageTimes,
 		heldWithdrawals:           previous.heldByNext,
-		peersReportedMessages:     previous.peerMessageTimes != nil,
+		bucketFullAt:              c.pushQueue.pace.emptyBucket(cmp.Or(previous.peersSentUntil, now)),
 	}
 	c.addZoneScopes(zone)
 	c.sharding.repeatFences()
 	c.enqueueForSync(id)
+	if c.mustHold(c.proxies[id], now) {
+		c.hold(c.proxies[id], 0)
+	}
 	c.limitColdStarts(now)
 	c.publishFirstLimits()
 	c.syncProxies(now)
+	c.awaitMessages(now)
 }
 
 // ProxyDisconnected handles the end of a proxy's connection. The proxy continues with the tables
 // and limits that it holds, and cannot be sent further messages.
 func (c *Controller) ProxyDisconnected(id int) {
-	c.proxies[id] = &proxyState{disconnectedAt: c.host.Now()}
+	c.proxies[id] = &proxyState{id: id, disconnectedAt: c.host.Now()}
+}
+
+// stateOf returns the state of a proxy, which may not have connected yet.
+func (c *Controller) stateOf(id int) *proxyState {
+	for len(c.proxies) <= id {
+		c.proxies = append(c.proxies, &proxyState{id: len(c.proxies)})
+	}
+	return c.proxies[id]
 }
 
 // Acknowledged handles a proxy's answer to Host.RequestAck: the proxy has received the message with
@@ -275,38 +289,15 @@
 func (c *Controller) Acknowledged(id, number int) {
 	proxy := c.proxies[id]
 	proxy.acknowledged = c.pushQueue.acknowledge(number, proxy)
+	c.sendHeldChanges(c.host.Now())
 	c.syncProxies(c.host.Now())
 }
 
-// MessagesSentByPeers handles the number of messages that other controllers have sent to a proxy
-// within the message window, or are going to send. The messages count towards the proxy's message
-// limit in its current connection, or in its next one if it is not connected.
-func (c *Controller) MessagesSentByPeers(id, messages int) {
-	for len(c.proxies) <= id {
-		c.proxies = append(c.proxies, &proxyState{})
-	}
-	proxy := c.proxies[id]
-	// The messages of other controllers are dated 1 microsecond back. If proxyState.messageTimes
-	// held the current time, charge would conclude that this controller has already sent the proxy
-	// a message now, and would not charge the overhead of that message.
-	at := c.host.Now() - 1
-	times := slices.Repeat([]Microseconds{at}, messages)
-	if proxy.connected {
-		proxy.messageTimes = append(proxy.messageTimes, times...)
-		slices.Sort(proxy.messageTimes)
-	} else {
-		proxy.peerMessageTimes = times
-	}
-}
-
 // WithdrawalsHeld handles the number of backends that a proxy, which connects next and has no table of
 // any controller, may have been told not to use. The first entry of such a backend lifts its
 // withdrawal at the proxy, which costs one more line.
 func (c *Controller) WithdrawalsHeld(id, backends int) {
-	for len(c.proxies) <= id {
-		c.proxies = append(c.proxies, &proxyState{})
-	}
-	c.proxies[id].heldByNext = float64(backends)
+	c.stateOf(id).heldByNext = float64(backends)
 }
 
 // SeedDemand sets the demand of a proxy that connected to this controller to the rates that another
--- a/balancer/fakehost_test.go
+++ b/balancer/fakehost_test.go
@@ -63,6 +63,8 @@
 	return true
 }
 func (host *fakeHost) ClearWithdrawals(p int) { host.record("clear %d", p) }
+func (host *fakeHost) HoldMessages(p int)     { host.record("hold %d", p) }
+func (host *fakeHost) ResumeMessages(p int)   { host.record("resume %d", p) }
 func (host *fakeHost) SetAdmissionLimit(table int, classes uint16, limit float64, retry RetryPolicy) {
 	key := fmt.Sprint(table, classes)
 	host.limits[key], host.retries[key] = limit, retry
--- a/balancer/host.go
+++ b/balancer/host.go
@@ -50,6 +50,13 @@
 	// accompanies it. A limit of 1,000,000 means unlimited, in either mode.
 	SetAdmissionLimit(table int, classes uint16, limit float64, retry RetryPolicy)
 
+	// HoldMessages makes the host collect the effects on a proxy, including those ordered before at
+	// this clock time, instead of sending them. ResumeMessages makes it send what it has collected,
+	// as a single message with the other effects of that clock time. A Controller calls them only
+	// with PushChannel.SharedProxies.
+	HoldMessages(proxy int)
+	ResumeMessages(proxy int)
+
 	// RequestAck requests an ack of the effects ordered at this clock time: the Host calls
 	// Acknowledged with the given number for each proxy that these effects reach or, with
 	// allConnected, for each connected proxy. A Controller always passes false for allConnected;
--- a/balancer/message_budget.go
+++ b/balancer/message_budget.go
@@ -17,15 +17,15 @@
 //   - Any other message leaves one message for each reserve interval that follows. If the allowed
 //     messages do not suffice for the longest wait, required changes come in shorter intervals, so a
 //     required message then leaves one message more.
-//   - Ordinary messages besides use half of the allowed messages at the most or, at a proxy for which
-//     other controllers reported the messages that they sent (proxyState.peersReportedMessages), all
-//     except messagesForRequired.
+//   - Ordinary messages besides use half of the allowed messages at the most.
 //   - A message with the first tables of a proxy is ordinary, but leaves nothing for reserve
 //     intervals, since the rules need these tables themselves.
 //
 // If drains follow each other faster than the allowed messages can bear even so, the last of them
 // are late: the rules cannot be kept then.
 //
+// Where controllers share their proxies, message_pace.go limits the messages instead.
+//
 // Inputs are PushChannel.MaxMessages, MessageWindow, MaxLatency and LinesPerSecond, and the drain
 // grace (microseconds).
 
@@ -33,9 +33,8 @@
 	// deadlineMargin is how long before its deadline a required change is sent, because the timers of
 	// controllers and proxies are not exact.
 	deadlineMargin = second / 20
-	// messagesForRequired is the number of messages per proxy and message window that are kept for
-	// required messages, at a proxy for which proxyState.peersReportedMessages is set.
-	messagesForRequired = 2
+	// ordinaryMessagesDivisor divides the allowed messages into those that ordinary messages may use.
+	ordinaryMessagesDivisor = 2
 )
 
 // messageUrgency states which of the allowed messages a message may use.
@@ -59,15 +58,18 @@
 	if q.MaxMessages == 0 || sharesMessage {
 		return true
 	}
+	if q.pace.limits() {
+		return q.pace.dueAt(proxy, urgency) <= now
+	}
 	switch urgency {
 	case overdueMessage:
 		return sent < q.MaxMessages
 	case requiredMessage:
 		return q.leavesReserve(proxy, now, q.spareMessages)
 	case firstTablesMessage:
-		return sent < q.ordinaryMessages(proxy)
+		return sent < q.ordinaryMessages()
 	default:
-		return sent < q.ordinaryMessages(proxy) && q.leavesReserve(proxy, now, 0)
+		return sent < q.ordinaryMessages() && q.leavesReserve(proxy, now, 0)
 	}
 }
 
@@ -75,12 +77,7 @@
 func (q *pushQueue) countingTime() Microseconds { return q.MessageWindow + q.MaxLatency }
 
 // ordinaryMessages returns how many messages ordinary messages to a proxy may use.
-func (q *pushQueue) ordinaryMessages(proxy *proxyState) int {
-	if proxy.peersReportedMessages {
-		return max(q.MaxMessages/2, q.MaxMessages-messagesForRequired)
-	}
-	return q.MaxMessages / 2
-}
+func (q *pushQueue) ordinaryMessages() int { return q.MaxMessages / ordinaryMessagesDivisor }
 
 // leavesReserve reports whether a message to a proxy now leaves one message at the end of each
 // reserve interval that follows while the messages sent so far count, and a number of spare messages.
--- a/balancer/proxy.go
+++ b/balancer/proxy.go
@@ -2,6 +2,7 @@
 
 // proxyState holds the state of one proxy.
 type proxyState struct {
+	id             int // index of the proxy
 	connected      bool
 	connectedAt    Microseconds
 	disconnectedAt Microseconds // time of the last disconnection; 0 if the proxy is connected, or was never connected
@@ -38,13 +39,21 @@
 	// messageTimes holds the times of the messages to the proxy within the message window, in increasing
 	// order.
 	messageTimes []Microseconds
-	// peerMessageTimes holds the times of other controllers' messages to a proxy that is not
-	// connected. They become its first messageTimes when it connects.
-	peerMessageTimes []Microseconds
 
-	// peersReportedMessages is set if other controllers reported, before the proxy connected, how
-	// many messages they have sent to it, even if that number was 0; see messagesForRequired.
-	peersReportedMessages bool
+	// State of the message pace (message_pace.go).
+
+	// peersSentUntil is the time up to which other controllers may have sent messages to a proxy that
+	// connects next; 0 if it is not known.
+	peersSentUntil Microseconds
+	// bucketFullAt is the time at which the proxy's token bucket is full, if it is sent no message
+	// until then.
+	bucketFullAt Microseconds
+	// unreleasedMessages is the number of messages to the proxy that the host holds back.
+	unreleasedMessages int
+	// held is set while the host collects changes for a later message to the proxy.
+	held        bool
+	heldLines   Lines          // cost of the collected changes
+	heldUrgency messageUrgency // urgency of the most urgent one of the collected changes
 }
 
 // hasAllTables reports whether this controller has assigned the proxy a table for each class.
--- a/balancer/publish.go
+++ b/balancer/publish.go
@@ -59,14 +59,21 @@
 	c.logRequiredChanges(plan, delay)
 	switch {
 	case roundStarts:
+		c.roundUrgency = ordinaryMessage
+		if plan.requiredLines > 0 {
+			c.roundUrgency = requiredMessage
+		}
 		c.publishRound(plan)
+		c.roundUrgency = requiredMessage
 		c.noteRequired(c.planPublication(now, contents))
 	case c.requiredSince > 0 && delay == delayedByReserve:
 		c.awaitRequiredDeadline(now, plan.requiredLines)
 	}
 	c.logEmptyTables(now)
 	c.reconcileShards(now)
+	c.sendHeldChanges(now)
 	c.syncProxies(now)
+	c.awaitMessages(now)
 }
 
 // publishRound publishes as many changes as the push queue has capacity for.
--- a/balancer/pushqueue.go
+++ b/balancer/pushqueue.go
@@ -35,6 +35,7 @@
 // pushQueue accounts for the lines that wait in the push channel to the proxies.
 type pushQueue struct {
 	PushChannel
+	pace messagePace // pace of the messages to each proxy, see message_pace.go
 	// batches holds the batches of which an ack is missing, oldest first. An ack of a batch
 	// discards all earlier batches. A timeout (expire) discards the oldest batch.
 	batches     []pushBatch
@@ -66,12 +67,21 @@
 }
 
 // charge adds lines for a proxy to the current batch. With the first lines for the proxy at this
-// clock time it also adds the overhead of the message and of its ack request.
+// clock time it also adds the overhead of the message and of its ack request. If the proxy may not
+// be sent a message now, the lines are held for a later one.
 func (c *Controller) charge(proxy *proxyState, lines Lines) {
 	now := c.host.Now()
+	if c.mustHold(proxy, now) {
+		c.hold(proxy, lines)
+		return
+	}
+	if proxy.held {
+		lines += c.resume(proxy)
+	}
 	batch := c.currentBatch(now)
 	if n := len(proxy.messageTimes); n == 0 || proxy.messageTimes[n-1] != now {
 		proxy.messageTimes = append(proxy.messageTimes, now)
+		c.pushQueue.pace.take(proxy, now)
 		message := c.pushQueue.messageOverhead()
 		// The proxy has no limits yet, so the message carries the limits of all classes.
 		if !proxy.tablesAssigned {
--- a/balancer/round_delay.go
+++ b/balancer/round_delay.go
@@ -11,6 +11,9 @@
 //   - no more than nearlyEmptyShare of the push queue's capacity is queued, or all required changes
 //     fit into the rest of the capacity;
 //   - each proxy with assigned tables may be sent one more message (message_budget.go).
+//
+// With a message pace (message_pace.go) the first and the last condition do not apply: a proxy that
+// may be sent no message does not hold up the others.
 
 // publicationsPerGrace is the number of rounds of required changes that fit into the drain grace.
 const publicationsPerGrace = 2
@@ -67,7 +70,8 @@
 	queue := &c.pushQueue
 	interval := min((c.graceAtListing-queue.MaxLatency-tickInterval)/publicationsPerGrace,
 		queue.MessageWindow/int64(max(queue.MaxMessages, 1)))
-	tooSoon := queue.MaxMessages > 0 && now > c.changedAt && now-c.changedAt < interval
+	limitsRounds := queue.MaxMessages > 0 && !queue.pace.limits()
+	tooSoon := limitsRounds && now > c.changedAt && now-c.changedAt < interval
 	fits := required > 0 && queue.queuedLines+required <= queue.capacity()
 	urgency := ordinaryMessage
 	if required > 0 {
@@ -81,6 +85,8 @@
 		return delayedBySpacing
 	case !queue.nearlyEmpty() && !fits:
 		return delayedByQueue
+	case !limitsRounds:
+		return notDelayed
 	case slices.ContainsFunc(c.proxies, mayNotPush(overdueMessage)):
 		return delayedByMessages
 	case slices.ContainsFunc(c.proxies, mayNotPush(urgency)):
--- a/balancer/transcript_test.go
+++ b/balancer/transcript_test.go
@@ -109,6 +109,10 @@
 		{name: "slow-reports", backends: 12, proxies: 6, reportSpan: 2 * second, change: func(settings *testSettings) {
 			settings.telemetry.ReportInterval, settings.channel.Proxies = 2*second, 30
 		}},
+		{name: "shared-proxies", backends: 12, proxies: 8, change: func(settings *testSettings) {
+			settings.channel.MaxMessages, settings.channel.MessageWindow = 8, 10*second
+			settings.channel.SharedProxies = true
+		}},
 	}
 }
 
--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -1,9 +1,10 @@
 package controller
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 
-	"wheelrill/balancer"
 	"wheelrill/consensus"
 	"wheelrill/ownership"
 )
@@ -30,13 +31,6 @@
 const (
 	defaultLease     = 3 * microsPerSecond / 2
 	renewalsPerLease = 8 // number of entries that are proposed during one lease to renew it
-	// reservedMessages is the number of messages that an owner may always write to a proxy: one
-	// message before the first table, while the proxy waits for that table, one with the first
-	// table, one for a drain, and one in reserve.
-	reservedMessages = 4
-	// unlimitedMessages is the number of messages that may be written to a proxy if no setting
-	// limits them.
-	unlimitedMessages = 1 << 20
 )
 
 // ShareOwnership makes the controller share the ownership of its proxies while it serves. It is
@@ -62,12 +56,14 @@
 func (c *Controller) startSharing(name string, host *ownershipHost) (err error) {
 	loop := c.loop
 	// The balancer.Controller that New made assumes that no other controller writes to the proxies.
-	// Replace it and its timers by a balancer.Controller that has this member's share of the
-	// messages.
+	// Replace it and its timers by a balancer.Controller that shares the limit of messages.
 	loop.timers = nil
-	if loop.decisions, err = c.configuration.newDecisions(loop, c.memberChannel(host.terms)); err != nil {
+	channel := c.configuration.channel
+	channel.SharedProxies = true
+	if loop.decisions, err = c.configuration.newDecisions(loop, channel); err != nil {
 		return err
 	}
+	c.logMessagePace()
 	loop.ownership = host
 	host.coordinator = ownership.New(host, name, host.terms, loop.now)
 	host.coordinatorTick(loop.now)
@@ -77,20 +73,10 @@
 // leaseTerms returns the terms of the leases, from the settings and config. They must be the same
 // at all members.
 func (c *Controller) leaseTerms(config OwnershipConfig) (ownership.LeaseTerms, error) {
-	channel := c.configuration.channel
-	terms := ownership.LeaseTerms{
-		Duration:           config.Lease,
-		MessageWindow:      channel.MessageWindow + channel.MaxLatency,
-		MaxMessages:        channel.MaxMessages,
-		Members:            len(config.Members),
-		GuaranteedMessages: reservedMessages,
-	}
+	terms := ownership.LeaseTerms{Duration: config.Lease, Members: len(config.Members)}
 	if terms.Duration == 0 {
 		terms.Duration = defaultLease
 	}
-	if terms.MaxMessages == 0 {
-		terms.MaxMessages = unlimitedMessages
-	}
 	terms.RenewInterval = terms.Duration / renewalsPerLease
 	if terms.RenewInterval < c.limits.tick.Microseconds() {
 		return terms, fmt.Errorf("lease: %d ms is too short for a tick of %s; it must last at least %d ticks",
@@ -117,12 +103,14 @@
 	return node, err
 }
 
-// memberChannel returns the settings of the push channel with this member's share of the messages
-// that may be written to a proxy.
-func (c *Controller) memberChannel(terms ownership.LeaseTerms) balancer.PushChannel {
-	channel := c.configuration.channel
-	if channel.MaxMessages > 0 {
-		channel.MaxMessages = terms.MemberQuota()
+// logMessagePace logs how often this member may write to a proxy, so that all members together keep
+// the limit of messages, and whether drains are in time at this pace.
+func (c *Controller) logMessagePace() {
+	interval, burst, keepsGrace := c.loop.decisions.MessagePace()
+	level := slog.LevelInfo
+	if !keepsGrace {
+		level = slog.LevelWarn
 	}
-	return channel
+	c.log.Log(context.Background(), level, "message_pace", "interval_s", formatDecimal(inSeconds(interval), 2),
+		"burst", burst, "keeps_drain_grace", keepsGrace)
 }
--- a/controller/ownership_host.go
+++ b/controller/ownership_host.go
@@ -39,6 +39,7 @@
 // pendingProxy holds the properties of a proxy that are passed to balancer.Controller once this
 // member owns the proxy.
 type pendingProxy struct {
+	connectedAt        microseconds
 	zone               int
 	requestsPerSecond  float64
 	mayHoldWithdrawals bool
@@ -121,9 +122,9 @@
 		state.grantToken = grant.Token
 	}
 	h.loop.log.Info("proxy_granted", "proxy", grant.Proxy, "token", grant.Token, "tables_known", grant.Base != nil,
-		"withdrawals_known", grant.NoWithdrawals, "messages_sent", grant.SentMessages)
+		"withdrawals_known", grant.NoWithdrawals)
 	decisions := h.loop.decisions
-	decisions.MessagesSentByPeers(grant.Proxy, grant.SentMessages)
+	decisions.PeersMaySendUntil(grant.Proxy, pending.connectedAt)
 	decisions.WithdrawalsHeld(grant.Proxy, state.countMaybeWithdrawn())
 	decisions.ProxyConnected(grant.Proxy, pending.zone, pending.requestsPerSecond, pending.mayHoldWithdrawals)
 	decisions.SeedDemand(grant.Proxy, grant.Demand)
@@ -144,12 +145,6 @@
 	}
 }
 
-// MessagesSentByPeers implements ownership.Host: it reduces the number of messages that
-// balancer.Controller may write to a proxy by the number that other members sent to the proxy.
-func (h *ownershipHost) MessagesSentByPeers(proxy, messages int) {
-	h.loop.decisions.MessagesSentByPeers(proxy, messages)
-}
-
 // QuorumChanged implements ownership.Host: it logs that this member is without a quorum and acts on
 // its own, or has a quorum again.
 func (h *ownershipHost) QuorumChanged(withoutQuorum bool, reason string) {
--- a/controller/sessions.go
+++ b/controller/sessions.go
@@ -56,7 +56,12 @@
 	state := l.connect(conn.proxy, conn, mayHoldWithdrawals)
 	if l.ownership != nil {
 		state.unowned, state.wantsToken = true, conn.wantsToken
-		l.ownership.addPendingProxy(conn.proxy, pendingProxy{conn.zone, requestsPerSecond, mayHoldWithdrawals})
+		l.ownership.addPendingProxy(conn.proxy, pendingProxy{
+			connectedAt:        l.now,
+			zone:               conn.zone,
+			requestsPerSecond:  requestsPerSecond,
+			mayHoldWithdrawals: mayHoldWithdrawals,
+		})
 		return
 	}
 	l.decisions.WithdrawalsHeld(conn.proxy, state.countMaybeWithdrawn())
--- a/controller/tables.go
+++ b/controller/tables.go
@@ -114,7 +114,11 @@
 	knownTables []ownership.KnownTable
 
 	// Fields that are used only where ownership is shared.
-	unowned bool // whether another controller may still own the proxy, so that this controller must not write to it
+	held        bool   // whether messages to the proxy are held, so that changes collect for a later one
+	heldClasses uint16 // bit set of the classes whose table was written to the proxy before it was held
+	// heldTables holds, by class, the table that was written to the proxy before it was held.
+	heldTables []ownership.KnownTable
+	unowned    bool // whether another controller may still own the proxy, so that this controller must not write to it
 	// wantsToken is true if the proxy asked for fencing tokens. Such a proxy refuses a message
 	// whose token is older than a token that it has seen.
 	wantsToken bool
--- a/controller/tables_encode.go
+++ b/controller/tables_encode.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"wheelrill/balancer"
-	"wheelrill/ownership"
 )
 
 // flush passes to send one message for each proxy that the orders since the last flush concern, in
@@ -15,7 +14,7 @@
 	send func(*connection, []byte) error, drop func(proxy int, err error), expectAck func(proxy, nonce int),
 ) {
 	for proxy, state := range t.proxies {
-		if state == nil || state.unowned || !t.needsMessage(state) {
+		if state == nil || state.unowned || state.held || !t.needsMessage(state) {
 			continue
 		}
 		state.dirty = false
@@ -62,6 +61,7 @@
 		proxy.knownTables = nil
 	}
 	proxy.tableDue = 0
+	proxy.releaseHeldClasses()
 	if t.ackRequested {
 		w.writeAckRequest(t.ackNonce)
 	}
@@ -105,6 +105,13 @@
 
 // writeDueTable writes a table for classes for which it is due, as a difference if possible.
 func (t *tables) writeDueTable(proxy *pushState, table *table, due uint16, w *messageWriter) {
+	if changes, ok := t.encodeHeldChanges(proxy, table, due); ok {
+		if len(changes) > 0 {
+			w.writeTableChange(due, changes)
+		}
+		proxy.tableDue &^= due
+		return
+	}
 	if delta, ok := t.encodeDelta(proxy, table, due); ok {
 		w.writeTableChange(due, delta)
 		t.deltaTables++
@@ -139,19 +146,10 @@
 	if proxy.knownTables == nil {
 		return nil, false
 	}
-	want := map[string]float64{}
-	for backend, weight := range table.weights {
-		if weight > 0 {
-			want[string(t.backendName(backend))] = weight
-		}
-	}
-	delta, ok := ownership.Delta(proxy.knownTables, func(class int) bool { return hasClass(due, class) }, want)
+	entries, ok = t.encodeDifference(proxy.knownTables, table, due)
 	if !ok {
 		return nil, false
 	}
-	for _, entry := range delta {
-		entries = append(entries, encodeEntry([]byte(entry.Backend), entry.Weight))
-	}
 	for class := range proxy.admissionLimits {
 		if hasClass(due, class) {
 			// The proxy may still have limits of other controllers, as only a full table makes it
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -69,6 +69,12 @@
 // observes only the withdrawals of the instance that the proxy is connected to.
 func (in *instance) ClearWithdrawals(int) {}
 
+// HoldMessages is never called: the proxies of the simulator are not shared.
+func (in *instance) HoldMessages(int) {}
+
+// ResumeMessages is never called: the proxies of the simulator are not shared.
+func (in *instance) ResumeMessages(int) {}
+
 // SetAdmissionLimit sets how many requests of a set of classes (bit i is class i) the proxies that
 // use a table admit, and the retry policy that accompanies the limit.
 func (in *instance) SetAdmissionLimit(table int, classes uint16, limit float64, retry balancer.RetryPolicy) {
--- a/ownership/apply.go
+++ b/ownership/apply.go
@@ -2,7 +2,6 @@
 
 // EntryApplied applies the next committed entry, which any member may have proposed.
 func (c *Coordinator) EntryApplied(e Entry, now Microseconds) {
-	c.observeStamp(e.Stamp, now)
 	moves, accepted := c.record.Apply(e)
 	if !accepted {
 		// Another process has entered under this member's name.
@@ -25,15 +24,11 @@
 
 // SnapshotRestored replaces the record by one from a snapshot; the entries that led to this record
 // are not applied. A proxy that this incarnation owned and that the new record assigns to another
-// incarnation is lost as by loseProxy, with two differences: the owner quota is not taken away, and
-// the proxy also counts as lost if its new owner has this member's name, in another incarnation.
-// This is the current behavior; docs/ROADMAP.md discusses whether the owner quota should stay.
+// incarnation is lost as by loseProxy, with one difference: the proxy also counts as lost if its new
+// owner has this member's name, in another incarnation.
 func (c *Coordinator) SnapshotRestored(record *Record, now Microseconds) {
 	c.record = record
 	for proxy, owned := range record.Proxies {
-		for _, stamp := range owned.Moves {
-			c.observeStamp(stamp, now)
-		}
 		state := c.proxies[proxy]
 		if state != nil && state.claimToken > 0 &&
 			owned.Incarnation != c.incarnation && owned.Token > state.claimToken {
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -42,9 +42,8 @@
 	sameStream claimKind = true
 )
 
-// maxStampedMoves is the number of moves that are remembered for a proxy: one more than the highest
-// number of moves that a rule distinguishes, which is maxMovesWithReserve.
-const maxStampedMoves = maxMovesWithReserve + 1
+// maxStampedMoves is the number of moves that are remembered for a proxy.
+const maxStampedMoves = 5
 
 // claim moves a proxy to the member that proposed an entry, under the next fencing token.
 func (r *Record) claim(proxy int, e Entry, kind claimKind) Move {
--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -17,9 +17,6 @@
 	ProxyGranted(Grant)
 	// PeerCapacityReported passes on the fleet capacity that another member has observed.
 	PeerCapacityReported(capacity Capacity)
-	// MessagesSentByPeers reduces the number of messages that may still be written to a granted
-	// proxy by the given number, which other members may have written.
-	MessagesSentByPeers(proxy, messages int)
 	// ReleaseUpTo permits writing the messages that belong to revisions up to the given one. It may
 	// call Coordinator.ProxyDisconnected.
 	ReleaseUpTo(revision uint64)
@@ -47,13 +44,10 @@
 	// Demand is the last reported rate of client requests to the proxy, in requests per second, by
 	// class; nil if no member has reported it.
 	Demand []float64
-	// SentMessages is the number of messages that count as already written, out of those that one
-	// owner may write within LeaseTerms.MessageWindow: LeaseTerms.MemberQuota.
-	SentMessages int
 }
 
 // Coordinator is one member's part in the record. It claims the proxies that connect to the member,
-// puts changes of the member's tables on the record before they are written, and decides which
+// puts changes of the member's tables on the record before they are written, and decides when
 // messages may be written to which proxy. It is not safe for concurrent use.
 type Coordinator struct {
 	host   Host
@@ -74,13 +68,10 @@
 	lastEnteredAt  Microseconds // time at which an incarnation's first entry was last proposed
 	withoutQuorum  bool         // the quorum was lost, and this member has not entered the record since
 	closing        bool
-	startedAt      Microseconds
 
-	revision     uint64                     // revision of this member's tables
-	tables       map[int]map[string]float64 // weights in this member's tables, by table and backend
-	proxies      map[int]*claimState        // state of each proxy that is connected to this member
-	grantTimes   map[int][]Microseconds     // times of the grants within the message window, by proxy
-	leaderClocks map[uint64]leaderClock
+	revision uint64                     // revision of this member's tables
+	tables   map[int]map[string]float64 // weights in this member's tables, by table and backend
+	proxies  map[int]*claimState        // state of each proxy that is connected to this member
 }
 
 // claimState holds the state of this member's claim of a connected proxy. It is in one of these
@@ -93,9 +84,8 @@
 //	incarnation began, proxy not active since     yes      either  0           > 0
 //	claimed again, or connected without quorum    yes      either  0           0
 type claimState struct {
-	granted     bool
-	windowStart Microseconds // start of the message window: the time of the grant, or the end of the last window
-	owned       bool         // the record has this incarnation or the previous one as the owner of the proxy
+	granted bool
+	owned   bool // the record has this incarnation or the previous one as the owner of the proxy
 	// claimToken is the fencing token of this incarnation's claim; 0 if this incarnation does not
 	// own the proxy. Messages carry the token of the grant instead.
 	claimToken uint64
@@ -122,13 +112,10 @@
 		terms:          terms,
 		name:           name,
 		record:         NewRecord(),
-		startedAt:      now,
 		leaseStart:     now,
 		lastProposedAt: now - terms.RenewInterval,
 		tables:         map[int]map[string]float64{},
 		proxies:        map[int]*claimState{},
-		grantTimes:     map[int][]Microseconds{},
-		leaderClocks:   map[uint64]leaderClock{},
 	}
 	c.beginIncarnation(now)
 	return c
@@ -151,27 +138,14 @@
 // Revision returns the revision of this member's tables.
 func (c *Coordinator) Revision() uint64 { return c.revision }
 
-// Tick does the work that is due by time: it continues without quorum if the lease has ended,
-// starts the next message window of proxies that the member does not own, forgets grants from
-// before the window, and proposes an entry if one is due. An entry that only renews the lease is
-// due one LeaseTerms.RenewInterval after the last entry. Tick has to be called several times within
+// Tick does the work that is due by time: it continues without quorum if the lease has ended, and
+// proposes an entry if one is due. An entry that only renews the lease is due one
+// LeaseTerms.RenewInterval after the last entry. Tick has to be called several times within
 // LeaseTerms.RenewInterval.
 func (c *Coordinator) Tick(now Microseconds) {
 	if !c.withoutQuorum && now-c.leaseStart >= c.terms.Duration {
 		c.goWithoutQuorum(now)
 	}
-	for _, proxy := range slices.Sorted(maps.Keys(c.proxies)) {
-		state := c.proxies[proxy]
-		if state.granted && !state.owned && now-state.windowStart >= c.terms.MessageWindow {
-			state.windowStart = now
-			c.host.MessagesSentByPeers(proxy, c.terms.ownerQuotaAfter(0)) // the member may write only the unowned quota
-		}
-	}
-	for proxy, times := range c.grantTimes {
-		if now-times[len(times)-1] >= c.terms.MessageWindow {
-			delete(c.grantTimes, proxy)
-		}
-	}
 	c.proposePending(now)
 }
 
@@ -215,7 +189,7 @@
 	c.host.ReleaseUpTo(c.revision)
 	for _, proxy := range slices.Sorted(maps.Keys(c.proxies)) {
 		if !c.proxies[proxy].granted {
-			c.grantWithoutQuorum(proxy, now)
+			c.grantWithoutQuorum(proxy)
 		}
 	}
 	c.beginIncarnation(now)
--- a/ownership/proxies.go
+++ b/ownership/proxies.go
@@ -17,7 +17,7 @@
 	c.proxies[proxy] = state
 	c.claim(proxy, newStream)
 	if c.withoutQuorum {
-		c.grantWithoutQuorum(proxy, now)
+		c.grantWithoutQuorum(proxy)
 	}
 	c.proposePending(now)
 }
@@ -106,15 +106,15 @@
 	case ownClaim && state.staleClaims > 0:
 		state.staleClaims--
 	case ownClaim:
-		c.gainProxy(state, move, now)
+		c.gainProxy(state, move)
 	case state.owned && move.To.Token > state.claimToken && move.To.Owner != c.name:
-		c.loseProxy(state, move.Proxy, now)
+		c.loseProxy(state, now)
 	}
 }
 
 // gainProxy handles the commit of this member's claim of a proxy. If the proxy was granted before,
 // the host does not get the new token: messages keep the token of the grant.
-func (c *Coordinator) gainProxy(state *claimState, move Move, now Microseconds) {
+func (c *Coordinator) gainProxy(state *claimState, move Move) {
 	state.owned = true
 	state.claimToken = move.To.Token
 	state.unclaimedSince = 0
@@ -122,18 +122,15 @@
 		c.addConfirmation(move.Proxy, state)
 		return
 	}
-	c.grantByRecord(move, now)
+	c.grantByRecord(move)
 }
 
 // loseProxy gives up a proxy that another member has claimed: the proxy is still connected to this
 // member, which does not own it any more. The stream may be half-open; if the proxy is active on it
 // later, the proxy is claimed again. If the other member's claim is contained in a restored
 // snapshot instead of an applied entry, SnapshotRestored gives up the proxy.
-func (c *Coordinator) loseProxy(state *claimState, proxy int, now Microseconds) {
+func (c *Coordinator) loseProxy(state *claimState, now Microseconds) {
 	state.owned = false
 	state.claimToken = 0
 	state.unclaimedSince = now
-	if state.granted {
-		c.host.MessagesSentByPeers(proxy, c.terms.ownerQuotaAfter(0))
-	}
 }
--- a/scale/counting_host.go
+++ b/scale/counting_host.go
@@ -86,6 +86,12 @@
 	h.reached[proxy] = true
 }
 
+// HoldMessages is never called: the proxies are not shared.
+func (h *countingHost) HoldMessages(int) {}
+
+// ResumeMessages is never called: the proxies are not shared.
+func (h *countingHost) ResumeMessages(int) {}
+
 // SetAdmissionLimit counts an admission limit.
 func (h *countingHost) SetAdmissionLimit(table int, _ uint16, _ float64, _ balancer.RetryPolicy) {
 	h.orders.limits++
--- a/scale/hollow_member.go
+++ b/scale/hollow_member.go
@@ -13,17 +13,15 @@
 	"wheelrill/consensus"
 	"wheelrill/internal/process"
 	"wheelrill/ownership"
-	"wheelrill/rehearse"
 )
 
 // Lease terms of hollow members, the same as the lease terms of real members, and the size of a
 // hollow member's task queue.
 const (
-	defaultLease       = 1500 * time.Millisecond // lease of members that share a fleet of proxies
-	voterLease         = 10 * time.Second        // lease of members that own no proxies; see docs/distributing.md
-	renewsPerLease     = 8
-	guaranteedMessages = 4
-	taskQueueSize      = 1024
+	defaultLease   = 1500 * time.Millisecond // lease of members that share a fleet of proxies
+	voterLease     = 10 * time.Second        // lease of members that own no proxies; see docs/distributing.md
+	renewsPerLease = 8
+	taskQueueSize  = 1024
 )
 
 // hollowMember is a member of the record that runs the same code as a real controller, and has no
@@ -45,8 +43,11 @@
 	lease time.Duration) (*hollowMember, error) {
 	m := &hollowMember{name: config.Name, began: time.Now(), tasks: make(chan func(), taskQueueSize),
 		done: make(chan struct{})}
-	config.Terms = ownership.LeaseTerms{Duration: lease.Microseconds(), RenewInterval: lease.Microseconds() / renewsPerLease,
-		MessageWindow: rehearse.MessageWindow.Microseconds(), MaxMessages: rehearse.MaxMessages, Members: len(config.Members), GuaranteedMessages: guaranteedMessages}
+	config.Terms = ownership.LeaseTerms{
+		Duration:      lease.Microseconds(),
+		RenewInterval: lease.Microseconds() / renewsPerLease,
+		Members:       len(config.Members),
+	}
 	var err error
 	if m.node, err = consensus.New(config, hollowEvents{m}, slog.New(slog.DiscardHandler)); err != nil {
 		return nil, err
@@ -111,7 +112,6 @@
 func (h hollowHost) Propose(e ownership.Entry)                             { h.node.Propose(e) }
 func (h hollowHost) ProxyGranted(ownership.Grant)                          {}
 func (h hollowHost) PeerCapacityReported(ownership.Capacity)               {}
-func (h hollowHost) MessagesSentByPeers(int, int)                          {}
 func (h hollowHost) ReleaseUpTo(uint64)                                    {}
 func (h hollowHost) PeerObservationReported(string, ownership.Observation) {}
 func (h hollowHost) QuorumChanged(alone bool, _ string)                    { h.hasQuorum.Store(!alone) }
--- a/scale/record.go
+++ b/scale/record.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"wheelrill/internal/process"
-	"wheelrill/ownership"
 	"wheelrill/rehearse"
 	"wheelrill/scale/results"
 )
@@ -57,11 +56,7 @@
 // backends in this process, take. If the size cannot be measured, Needs returns the reason.
 func (recordReal) Needs(size int, o Options) Needs {
 	needs := Needs{Memory: int64(size)*memberMemory + fakesMemory, Processes: size, Time: 2*startTimeout + o.Duration}
-	if terms := (ownership.LeaseTerms{MaxMessages: rehearse.MaxMessages, Members: size}); terms.OwnerQuota() < 1 {
-		needs.Refusal = fmt.Sprintf("with %d members the quota of an owner is less than 1 of the %d messages "+
-			"that a proxy may get within %s; give fewer members",
-			size, rehearse.MaxMessages, rehearse.MessageWindow)
-	} else if o.Duration < 2*costLogInterval {
+	if o.Duration < 2*costLogInterval {
 		needs.Refusal = fmt.Sprintf("--for is %s, but a member logs its cost every %s; give %s or more",
 			o.Duration, costLogInterval, 2*costLogInterval)
 	}
