ownership: one way to grant a proxy, and what moves and stamps are kept for

Cause: with the quotas gone, two wrappers of grant were left, and nothing said why moves and stamps stay.

Change: grant is called directly; comments say that members of earlier versions use Moves and Stamp, whose bytes wire_test.go keeps.

--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -42,7 +42,8 @@
 	sameStream claimKind = true
 )
 
-// maxStampedMoves is the number of moves that are remembered for a proxy.
+// maxStampedMoves is the number of moves that are remembered for a proxy, for members of versions
+// that limit messages by them.
 const maxStampedMoves = 5
 
 // claim moves a proxy to the member that proposed an entry, under the next fencing token.
--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -189,7 +189,7 @@
 	c.host.ReleaseUpTo(c.revision)
 	for _, proxy := range slices.Sorted(maps.Keys(c.proxies)) {
 		if !c.proxies[proxy].granted {
-			c.grantWithoutQuorum(proxy)
+			c.grant(proxy, Move{})
 		}
 	}
 	c.beginIncarnation(now)
--- a/ownership/entry.go
+++ b/ownership/entry.go
@@ -40,7 +40,8 @@
 	// without quorum when this entry arrived at the leader. It is empty until all members have
 	// entered the record.
 	FullyRecorded []uint64 `cbor:"11,keyasint,omitempty"`
-	// Stamp is set by the leader: the time at which the entry arrived at the leader.
+	// Stamp is set by the leader: the time at which the entry arrived at the leader. Only members of
+	// versions without a message pace use it.
 	Stamp Stamp `cbor:"12,keyasint,omitempty"`
 }
 
--- a/ownership/grant.go
+++ b/ownership/grant.go
@@ -1,15 +1,7 @@
 package ownership
 
-// grantByRecord grants a proxy whose claim is on the record.
-func (c *Coordinator) grantByRecord(move Move) {
-	c.grant(move.Proxy, move)
-}
-
-// grantWithoutQuorum grants a proxy whose content is not known.
-func (c *Coordinator) grantWithoutQuorum(proxy int) {
-	c.grant(proxy, Move{})
-}
-
+// grant grants a proxy: by a move that is on the record, or by an empty one if this member is without
+// quorum, so that the content of the proxy's tables is not known.
 func (c *Coordinator) grant(proxy int, move Move) {
 	state := c.proxies[proxy]
 	state.granted = true
--- a/ownership/proxies.go
+++ b/ownership/proxies.go
@@ -17,7 +17,7 @@
 	c.proxies[proxy] = state
 	c.claim(proxy, newStream)
 	if c.withoutQuorum {
-		c.grantWithoutQuorum(proxy)
+		c.grant(proxy, Move{})
 	}
 	c.proposePending(now)
 }
@@ -122,7 +122,7 @@
 		c.addConfirmation(move.Proxy, state)
 		return
 	}
-	c.grantByRecord(move)
+	c.grant(move.Proxy, move)
 }
 
 // loseProxy gives up a proxy that another member has claimed: the proxy is still connected to this
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -74,7 +74,8 @@
 	// Tables are the numbers of the tables to which the proxy's classes are bound, by class.
 	Tables []int `cbor:"5,keyasint"`
 	// Moves are the times of the last claims that moved the proxy: claims of a proxy that had an
-	// owner, except those by the same owner for the same stream.
+	// owner, except those by the same owner for the same stream. Only members of versions without a
+	// message pace (package balancer) use them.
 	Moves []Stamp `cbor:"6,keyasint"`
 	// WithdrawalsKnown reports whether the proxy holds the withdrawals that its owner ordered, and
 	// none by an earlier owner.
