--- a/distribution/content_test.go
+++ b/distribution/content_test.go
@@ -173,6 +173,36 @@
 	}
 }
 
+// Guards against subscribers that never get large entries: a piece with such an entry takes longer
+// than MaxStaleness at the parent's rate, and the subscriber left the parent before the next piece,
+// which began the snapshot anew at another.
+func TestSnapshotOfLargeEntriesArrives(t *testing.T) {
+	for _, leaves := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d subscribers at once", leaves), func(t *testing.T) {
+			limits := DefaultLimits()
+			c := newCluster()
+			for _, name := range []string{"v0", "v1", "v2"} {
+				c.add(voter(name, limits))
+			}
+			for i := range 3 {
+				c.accept(set("a", fmt.Sprint(i), string(make([]byte, 120*kibibyte))))
+			}
+			c.advance(second, tick)
+			for i := range leaves {
+				c.add(subscriber(fmt.Sprint("leaf", i), SomeScopes("a"), limits, "v0", "v1", "v2"))
+			}
+			timeAtRate := Microseconds(leaves*3*120*kibibyte) * second / Microseconds(limits.SnapshotBytesPerSecond)
+			c.advance(timeAtRate+5*second, tick)
+			c.expectCaughtUp(t, c.members...)
+			for _, leaf := range c.members[3:] {
+				if lost := leaf.node.Status(c.now).Counts.ParentsLost; lost > 0 {
+					t.Errorf("%s lost its parent %d times during the snapshot, want 0", leaf.config.Name, lost)
+				}
+			}
+		})
+	}
+}
+
 // Snapshots must reach a rate of more than one window per Tick: a Renew that confirms pieces makes
 // the parent send the next pieces at once. Otherwise the parent would send at most one window per
 // Tick.
--- a/distribution/incoming_snapshot.go
+++ b/distribution/incoming_snapshot.go
@@ -3,9 +3,8 @@
 // incomingSnapshot is a snapshot that is being received into a store of its own; the node's store
 // does not change until the snapshot is complete.
 type incomingSnapshot struct {
-	store      *store
-	nextIndex  int          // index of the next expected piece
-	progressAt Microseconds // time at which the most recent piece arrived
+	store     *store
+	nextIndex int // index of the next expected piece
 }
 
 // handleSnapshotPiece adds a piece to the incoming snapshot, and installs the snapshot after its
@@ -27,7 +26,7 @@
 		incoming.store.put(entry)
 	}
 	incoming.nextIndex++
-	incoming.progressAt = now
+	parent.lastPieceAt = now
 	switch {
 	case incoming.store.bytes > n.limits.StateBytes:
 		n.rejectTooLarge(parent, now)
--- a/distribution/node.go
+++ b/distribution/node.go
@@ -158,6 +158,7 @@
 	n.sendDueHeartbeats(now)
 	n.refillSnapshotCredit(now)
 	n.sendSnapshotPieces(now)
+	n.sendEmptyPieces(now)
 	n.seekParent(now)
 	n.logStaleness(now)
 }
--- a/distribution/outgoing_snapshot.go
+++ b/distribution/outgoing_snapshot.go
@@ -5,10 +5,11 @@
 type outgoingSnapshot struct {
 	version   Version
 	horizon   uint64
-	digest    Digest  // digest of all entries of the snapshot
-	entries   []Entry // entries that are not sent yet
-	nextIndex int     // index of the next piece to send
-	bytesLeft int     // estimated size in bytes of the entries that are not sent yet
+	digest    Digest       // digest of all entries of the snapshot
+	entries   []Entry      // entries that are not sent yet
+	nextIndex int          // index of the next piece to send
+	bytesLeft int          // estimated size in bytes of the entries that are not sent yet
+	pieceAt   Microseconds // time of the last piece; before the first piece, time of the beginning
 }
 
 // microsecondsPerSecond converts between bytes and credit, which is counted in millionths of a
@@ -19,6 +20,10 @@
 // 1/creditsPerSecond seconds or the size of one piece, whichever is more.
 const creditsPerSecond = 4
 
+// emptyPieceDivisor determines the longest wait of a snapshot for credit without a piece: MaxStaleness
+// divided by emptyPieceDivisor.
+const emptyPieceDivisor = 4
+
 // snapshotsPending counts the snapshots that are under way or due. A child that waits for a
 // snapshot does not count while the child is ahead of this node.
 func (n *Node) snapshotsPending() int {
@@ -49,14 +54,14 @@
 			continue
 		}
 		child.awaitsSnapshot = false
-		child.snapshot = n.newOutgoingSnapshot(child.scopes)
+		child.snapshot = n.newOutgoingSnapshot(child.scopes, now)
 		underWay++
 	}
 	n.sendSnapshotPieces(now)
 }
 
 // newOutgoingSnapshot returns a snapshot of the current entries of some scopes.
-func (n *Node) newOutgoingSnapshot(scopes Scopes) *outgoingSnapshot {
+func (n *Node) newOutgoingSnapshot(scopes Scopes, now Microseconds) *outgoingSnapshot {
 	entries := n.store.collect(scopes, true)
 	return &outgoingSnapshot{
 		version:   n.store.version,
@@ -64,6 +69,7 @@
 		digest:    n.store.digestFor(scopes),
 		entries:   entries,
 		bytesLeft: entriesSize(entries),
+		pieceAt:   now,
 	}
 }
 
@@ -111,9 +117,8 @@
 // last piece.
 func (n *Node) sendSnapshotPiece(c *child, now Microseconds) {
 	snapshot := c.snapshot
-	piece := &SnapshotPiece{Version: snapshot.version, Index: snapshot.nextIndex}
+	piece := snapshot.nextPiece(now)
 	piece.Entries, snapshot.entries = splitEntries(snapshot.entries, n.limits.PieceBytes)
-	snapshot.nextIndex++
 	snapshot.bytesLeft -= entriesSize(piece.Entries)
 	if len(snapshot.entries) == 0 {
 		piece.Last = true
@@ -127,6 +132,28 @@
 	}
 }
 
+// sendEmptyPieces sends a piece without entries to each child whose snapshot has waited for credit
+// for long: a large entry takes the credit far below zero, and a child that gets no piece for its
+// Limits.MaxStaleness looks for another parent, where the snapshot would begin anew.
+func (n *Node) sendEmptyPieces(now Microseconds) {
+	for _, child := range n.children {
+		snapshot := child.snapshot
+		if snapshot == nil || child.unconfirmedBytes >= n.limits.Window ||
+			now-snapshot.pieceAt < n.limits.MaxStaleness/emptyPieceDivisor {
+			continue
+		}
+		n.sendToChild(child, snapshot.nextPiece(now))
+	}
+}
+
+// nextPiece returns the next piece of a snapshot, without entries.
+func (s *outgoingSnapshot) nextPiece(now Microseconds) *SnapshotPiece {
+	piece := &SnapshotPiece{Version: s.version, Index: s.nextIndex}
+	s.nextIndex++
+	s.pieceAt = now
+	return piece
+}
+
 // finishSnapshot ends a snapshot whose last piece was sent, sends the child the deltas that follow
 // the version of the snapshot, and starts the next snapshot.
 func (n *Node) finishSnapshot(c *child, now Microseconds) {
--- a/distribution/parent.go
+++ b/distribution/parent.go
@@ -11,6 +11,7 @@
 	dialedAt       Microseconds
 	connected      bool
 	lastReceivedAt Microseconds // time of the most recent message; before the first message, time of the dial
+	lastPieceAt    Microseconds // time of the most recent piece of a snapshot; 0 before the first piece
 
 	subscribing      bool   // the last Subscribe is unanswered; messages before its answer belong to an older Subscribe
 	lastRequest      uint64 // request number of the last Subscribe on this link
--- a/distribution/parent_search.go
+++ b/distribution/parent_search.go
@@ -32,7 +32,7 @@
 
 // needsParent reports whether this node has no parent, or a parent that has been behind for
 // MaxStaleness or with which this node has made no progress for MaxStaleness. Progress is the
-// admission by the parent, a source known to be current, or a piece of an incoming snapshot.
+// admission by the parent, a source known to be current, or a piece of a snapshot.
 func (n *Node) needsParent(now Microseconds) bool {
 	parent := n.parent
 	if parent == nil {
@@ -41,13 +41,10 @@
 	if parent.behind && now-parent.behindSince >= n.limits.MaxStaleness {
 		return true
 	}
-	lastProgressAt := parent.admittedAt
+	lastProgressAt := max(parent.admittedAt, parent.lastPieceAt)
 	if n.sourceEverCurrent {
 		lastProgressAt = max(lastProgressAt, n.sourceCurrentAt)
 	}
-	if n.incomingSnapshot != nil {
-		lastProgressAt = max(lastProgressAt, n.incomingSnapshot.progressAt)
-	}
 	return now-lastProgressAt >= n.limits.MaxStaleness
 }
 
