balancer: no line is over 120 characters wide

Change: they are wrapped; one condition has a name for what it looked up twice. Nothing else changes.

--- a/balancer/admission_division.go
+++ b/balancer/admission_division.go
@@ -67,7 +67,9 @@
 }
 
 // admittedUnder returns how much of a class's demand is admitted if the given rate is allowed.
-func (c *Controller) admittedUnder(scope *admissionScope, rates []float64, allowed RequestsPerSecond) RequestsPerSecond {
+func (c *Controller) admittedUnder(
+	scope *admissionScope, rates []float64, allowed RequestsPerSecond,
+) RequestsPerSecond {
 	total := sum(rates) * c.demandGrowth(scope)
 	return min(total, max(allowed, c.minAdmittedShareOf(scope)*total))
 }
--- a/balancer/cold_start_test.go
+++ b/balancer/cold_start_test.go
@@ -101,17 +101,21 @@
 	settings.mode = f.mode
 	settings.classes = nil
 	for _, local := range f.zoneLocal {
-		settings.classes = append(settings.classes, Class{LatencyObjective: second, Deadline: 3 * second, PriorityWeight: 1, ZoneLocal: local})
+		class := Class{LatencyObjective: second, Deadline: 3 * second, PriorityWeight: 1, ZoneLocal: local}
+		settings.classes = append(settings.classes, class)
 	}
 	settings.limits.ColdStartShare, settings.limits.WarmupTime = f.coldShare, f.warmupTime
 	settings.telemetry.ReportInterval = 2 * second
 	settings.channel = PushChannel{LinesPerSecond: 5000, MessageOverhead: 4, Backlog: 5000, MaxLatency: 660_000,
 		MaxMessages: 30, MessageWindow: 10 * second, Proxies: len(f.proxies)}
-	host := &coldStartHost{assignedTables: map[[2]int]int{}, fakeHost: &fakeHost{T: f.T, now: f.now, tables: map[int]map[int]float64{},
-		withdrawn: map[int]bool{}, assigned: map[string]bool{}, limits: map[string]float64{}, retries: map[string]RetryPolicy{}}}
+	host := &coldStartHost{assignedTables: map[[2]int]int{}, fakeHost: &fakeHost{
+		T: f.T, now: f.now, tables: map[int]map[int]float64{}, withdrawn: map[int]bool{},
+		assigned: map[string]bool{}, limits: map[string]float64{}, retries: map[string]RetryPolicy{},
+	}}
 	host.controller = newController(f.T, host, settings)
 	f.hosts[number] = host
-	host.controller.EndpointsUpdated(true, f.endpoints(func(backend *coldStartBackend) bool { return backend.State == Ready }))
+	ready := func(backend *coldStartBackend) bool { return backend.State == Ready }
+	host.controller.EndpointsUpdated(true, f.endpoints(ready))
 	for p, proxy := range f.proxies {
 		if proxy.controller == number {
 			proxy.connected, proxy.connectsAt = false, f.now+second*int64(1+p%5)/2
@@ -283,7 +287,8 @@
 				answerTime = 900_000
 			}
 			if attempts := int(math.Round(backend.attempts / float64(len(f.hosts)))); attempts > 0 && backend.State == Ready {
-				host.controller.OutcomesReported(OutcomeReport{Backend: b, Attempts: attempts, MeanAnswerTime: answerTime, Span: 2 * second, Load: noLoad})
+				host.controller.OutcomesReported(OutcomeReport{Backend: b, Attempts: attempts,
+					MeanAnswerTime: answerTime, Span: 2 * second, Load: noLoad})
 			}
 		}
 	}
@@ -340,14 +345,18 @@
 func TestColdZoneIsNotPushedOver(t *testing.T) {
 	// Guards against a zone that returns cold into a table of its own and gets all of the zone's
 	// requests at once, whatever the weights of its backends are.
-	lostZone := coldStartCase{mode: AdmissionByRate, zoneLocal: []bool{true, true}, zones: [][]float64{{1, 1, 1}, {1, 1, 1}}, proxies: 6,
-		controllers: 1, coldShare: 0.16, warmupTime: 17 * second, multiple: 3, utilization: 0.9, baseline: 0.45, away: 11 * second, lostZones: 1}
+	lostZone := coldStartCase{mode: AdmissionByRate, zoneLocal: []bool{true, true},
+		zones: [][]float64{{1, 1, 1}, {1, 1, 1}}, proxies: 6, controllers: 1,
+		coldShare: 0.16, warmupTime: 17 * second, multiple: 3,
+		utilization: 0.9, baseline: 0.45, away: 11 * second, lostZones: 1}
 	for name, change := range map[string]func(c *coldStartCase){
-		"a zone is lost and returns":              func(*coldStartCase) {},
-		"limits are shares":                       func(c *coldStartCase) { c.mode = AdmissionByShare },
-		"proxies ignore limits":                   func(c *coldStartCase) { c.mode = AdmissionUnsupported },
-		"one class is shared":                     func(c *coldStartCase) { c.zoneLocal[1] = false },
-		"all classes are shared, one zone":        func(c *coldStartCase) { c.zoneLocal, c.zones = []bool{false, false}, c.zones[:1] },
+		"a zone is lost and returns": func(*coldStartCase) {},
+		"limits are shares":          func(c *coldStartCase) { c.mode = AdmissionByShare },
+		"proxies ignore limits":      func(c *coldStartCase) { c.mode = AdmissionUnsupported },
+		"one class is shared":        func(c *coldStartCase) { c.zoneLocal[1] = false },
+		"all classes are shared, one zone": func(c *coldStartCase) {
+			c.zoneLocal, c.zones = []bool{false, false}, c.zones[:1]
+		},
 		"the zone's backends restart at once":     func(c *coldStartCase) { c.away = 0 },
 		"restart at once, limits ignored":         func(c *coldStartCase) { c.away, c.mode = 0, AdmissionUnsupported },
 		"three controllers":                       func(c *coldStartCase) { c.controllers = 3 },
@@ -355,9 +364,11 @@
 		"the only controller has restarted":       func(c *coldStartCase) { c.restarted = true },
 		"it has restarted, and limits are shares": func(c *coldStartCase) { c.restarted, c.mode = true, AdmissionByShare },
 		"the zone's proxies are lost, too":        func(c *coldStartCase) { c.proxiesLost, c.baseline = true, 0.1 },
-		"proxies lost, limits are shares":         func(c *coldStartCase) { c.proxiesLost, c.baseline, c.mode = true, 0.1, AdmissionByShare },
-		"the backends start with a twentieth":     func(c *coldStartCase) { c.coldShare = 0.05 },
-		"zones of other sizes":                    func(c *coldStartCase) { c.zones = [][]float64{{2}, {1, 3, 1, 1}, {1, 1}} },
+		"proxies lost, limits are shares": func(c *coldStartCase) {
+			c.proxiesLost, c.baseline, c.mode = true, 0.1, AdmissionByShare
+		},
+		"the backends start with a twentieth": func(c *coldStartCase) { c.coldShare = 0.05 },
+		"zones of other sizes":                func(c *coldStartCase) { c.zones = [][]float64{{2}, {1, 3, 1, 1}, {1, 1}} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := lostZone
--- a/balancer/controller.go
+++ b/balancer/controller.go
@@ -97,12 +97,15 @@
 		return nil, err
 	}
 	c := &Controller{
-		host:           host,
-		seed:           config.Seed,
-		rules:          config.Rules,
-		telemetry:      config.Telemetry,
-		classes:        config.Classes,
-		pushQueue:      pushQueue{PushChannel: config.Channel, pace: newMessagePace(config.Channel, config.Rules.DrainGrace)},
+		host:      host,
+		seed:      config.Seed,
+		rules:     config.Rules,
+		telemetry: config.Telemetry,
+		classes:   config.Classes,
+		pushQueue: pushQueue{
+			PushChannel: config.Channel,
+			pace:        newMessagePace(config.Channel, config.Rules.DrainGrace),
+		},
 		roundUrgency:   requiredMessage,
 		sharding:       newShardingState(config.Sharding, config.Classes),
 		admission:      newAdmissionState(config.Admission, config.Classes),
--- a/balancer/demand.go
+++ b/balancer/demand.go
@@ -97,7 +97,9 @@
 
 // sumDemand sums the demand that is offered to a scope, and the part of it that the published limits
 // admit, and returns the admitted demand of the scope's proxies in requests per second.
-func (c *Controller) sumDemand(scope *admissionScope, demand connectedDemand, load *loadSummary) (requests RequestsPerSecond) {
+func (c *Controller) sumDemand(
+	scope *admissionScope, demand connectedDemand, load *loadSummary,
+) (requests RequestsPerSecond) {
 	sharedShare := c.sharedShareOf(scope)
 	zonesWithEntries := c.zonesWithEntries()
 	for class := range c.classes {
--- a/balancer/message_pace_test.go
+++ b/balancer/message_pace_test.go
@@ -27,7 +27,8 @@
 		{"one message", 1, 500_000, 1500_000, messagePace{10_500_000, 1}},
 		{"no limit", 0, 500_000, 1500_000, messagePace{}},
 	} {
-		channel := PushChannel{MaxMessages: c.messages, MessageWindow: 10 * second, MaxLatency: c.latency, SharedProxies: true}
+		channel := PushChannel{MaxMessages: c.messages, MessageWindow: 10 * second, MaxLatency: c.latency,
+			SharedProxies: true}
 		if got := newMessagePace(channel, c.grace); got != c.want {
 			t.Errorf("%s: pace %+v, want %+v", c.name, got, c.want)
 		}
@@ -93,7 +94,9 @@
 
 // exploreMoves plays every order of events up to a depth, and returns the first one after which the
 // proxy was sent more messages within the window than allowed; "" if there is none.
-func exploreMoves(pace messagePace, allowed int, window int64, depth int, bucketAfterMove func(messagePace, int64) int64) string {
+func exploreMoves(
+	pace messagePace, allowed int, window int64, depth int, bucketAfterMove func(messagePace, int64) int64,
+) string {
 	var explore func(m paceModel, order string) string
 	explore = func(m paceModel, order string) string {
 		if mostWithin(m.messages, window) > allowed {
@@ -178,9 +181,9 @@
 				host.controller.proxies[1].held)
 		}
 		host.run(0.9, nil)
-		if host.controller.proxies[0].held || !slices.Contains(host.effects, fmt.Sprint(host.controller.proxies[0].messageTimes[1], " resume 0")) {
-			t.Errorf("proxy 0 is held: %v, messages at %v; want one with the drain", host.controller.proxies[0].held,
-				host.controller.proxies[0].messageTimes)
+		proxy := host.controller.proxies[0]
+		if proxy.held || !slices.Contains(host.effects, fmt.Sprint(proxy.messageTimes[1], " resume 0")) {
+			t.Errorf("proxy 0 is held: %v, messages at %v; want one with the drain", proxy.held, proxy.messageTimes)
 		}
 	})
 	t.Run("no message follows one that the host holds back, which counts from its release", func(t *testing.T) {
@@ -233,6 +236,7 @@
 					host.connectShared(p)
 				}
 				host.run(12, func() { host.reportHealthy() })
+				counting := settings.channel.MessageWindow + settings.channel.MaxLatency
 				told, late := map[int]int64{}, int64(0)
 				// A backend that a proxy may still use is one whose drain was told after the proxy's
 				// last message.
@@ -244,7 +248,7 @@
 								late = max(late, host.now-at)
 							}
 						}
-						if count := mostWithin(proxy.messageTimes, settings.channel.MessageWindow+settings.channel.MaxLatency); count > settings.channel.MaxMessages {
+						if count := mostWithin(proxy.messageTimes, counting); count > settings.channel.MaxMessages {
 							t.Fatalf("proxy %d was sent %d messages within the window", p, count)
 						}
 					}
--- a/balancer/outlier.go
+++ b/balancer/outlier.go
@@ -2,9 +2,9 @@
 
 import "slices"
 
-// Outlier detection: a usable backend is ejected, so that its entries are removed where its
-// tables can do without them, if it is dead, failing or lagging. An attempt fails if it timed out, was refused or was answered with an error;
-// all other attempts are answered.
+// Outlier detection: a usable backend is ejected, so that its entries are removed where its tables
+// can do without them, if it is dead, failing or lagging. An attempt fails if it timed out, was
+// refused or was answered with an error; all other attempts are answered.
 //   - dead: consecutiveFailuresToEject attempts in a row failed. They are counted by whole report
 //     lines: one answer in a line resets the count to 0;
 //   - failing: at least minAttemptsToEject attempts in the window, and a success rate below
--- a/balancer/publication.go
+++ b/balancer/publication.go
@@ -43,7 +43,12 @@
 
 // planPublication sums the changes to be published, and their costs.
 func (c *Controller) planPublication(now Microseconds, contents []tableContent) *publication {
-	plan := &publication{now: now, overhead: c.pushQueue.messageOverhead(), contents: contents, postponed: map[*backendState]bool{}}
+	plan := &publication{
+		now:       now,
+		overhead:  c.pushQueue.messageOverhead(),
+		contents:  contents,
+		postponed: map[*backendState]bool{},
+	}
 	plan.messageCharged = make([]bool, len(contents))
 	plan.remainingEntries = make([]int, len(contents))
 	plan.targetBySubset, plan.fairWeight = c.subsetTargetWeights(now)
--- a/balancer/publish.go
+++ b/balancer/publish.go
@@ -134,10 +134,13 @@
 
 // publishIfPossible publishes the change of a backend's entries if it is of the given kind and the
 // push queue has capacity for it, and reports whether it did.
-func (c *Controller) publishIfPossible(plan *publication, backend *backendState, kind changeKind, entries *entryChanges) bool {
+func (c *Controller) publishIfPossible(
+	plan *publication, backend *backendState, kind changeKind, entries *entryChanges,
+) bool {
 	target := c.targetWeights(backend, plan.now)
 	required := c.changeRequired(plan, backend, target)
-	if !plan.postponed[backend] && required != (kind == requiredChanges) || plan.postponed[backend] != (kind == emptyingChanges) {
+	postponed := plan.postponed[backend]
+	if !postponed && required != (kind == requiredChanges) || postponed != (kind == emptyingChanges) {
 		return false
 	}
 	if c.emptiesTable(plan, backend, target) {
--- a/balancer/sync.go
+++ b/balancer/sync.go
@@ -17,9 +17,9 @@
 // sent before tables, unless tables would then arrive later than tablesShareOfGrace of the drain
 // grace after the connection.
 //
-// A table that has no entry, as no usable backend belongs to it that is not held back, is left out: the proxy gets its other
-// tables, and this one once it has an entry. For the classes of that table the proxy keeps the tables
-// that it has, and is notified of withdrawals.
+// A table that has no entry, as no usable backend belongs to it that is not held back, is left out:
+// the proxy gets its other tables, and this one once it has an entry. For the classes of that table
+// the proxy keeps the tables that it has, and is notified of withdrawals.
 //
 // A proxy whose tables cannot be sent yet gets a withdrawals message, once, only if
 //   - one of its tables is empty, so that its tables cannot be sent, or its tables cost at least
--- a/balancer/table_content.go
+++ b/balancer/table_content.go
@@ -11,10 +11,10 @@
 // table is looked at by itself, because the requests of a zone-local class can go nowhere else, and
 // a backend that is left out of one of its tables may stay in the other:
 //   - if no usable backend of a table qualifies, that is if each one is ejected or withheld, the
-//     table has them all (panic mode), except those that a cold start holds back (cold_start.go). The table of a subset, which can be given backends of other
-//     subsets (subset.go), has them all only if no usable backend of the whole fleet qualifies.
-//     Otherwise it keeps the entries of ejected backends until it is given others, or gets them back
-//     if it has no entry at all;
+//     table has them all (panic mode), except those that a cold start holds back (cold_start.go).
+//     The table of a subset, which can be given backends of other subsets (subset.go), has them all
+//     only if no usable backend of the whole fleet qualifies. Otherwise it keeps the entries of
+//     ejected backends until it is given others, or gets them back if it has no entry at all;
 //   - a zone's table keeps at least 1-maxEjectedShare of the listed weight of its usable backends,
 //     where a backend that is warming up or in its slow start counts with the share that it can
 //     carry. Otherwise it keeps ejected backends too: first those that answered the largest share
