Sharing: the default lease leaves a drain time

What callers saw: where the record stops to answer, changes wait for the end of the lease.

Cause: defaultLease was a constant, though its comment asked for a lease shorter than the time for drains.

Change: without a configured lease it is the drain grace less the longest way of a message, 1.5 s at most and 0.8 s at least, so that two heartbeat timeouts fit. All members derive the same from the same settings.

Measured (x86-64): TestDefaultLeaseLeavesTimeForDrains fails before (1,500,000 us for 925,000).

--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -22,15 +22,17 @@
 	Folder string
 	consensus.Credentials
 	// Lease is the time after which a member acts on its own if none of the member's entries was
-	// committed to the replicated log; 0 means 1.5 s.
+	// committed to the replicated log. 0 means 1.5 s, or less where a drain has to reach the proxies
+	// sooner.
 	Lease ownership.Microseconds
 }
 
-// Values that no setting determines. A lease must be shorter than the time within which a drain has
-// to reach all proxies, and must not expire if one or two of the entries that renew it are lost.
+// Values that no setting determines. A lease must not expire if one or two of the entries that renew
+// it are lost.
 const (
-	defaultLease     = 3 * microsPerSecond / 2
-	renewalsPerLease = 8 // number of entries that are proposed during one lease to renew it
+	maxDefaultLease  = 3 * microsPerSecond / 2
+	minDefaultLease  = 4 * microsPerSecond / 5 // two of the shortest heartbeat timeouts of the record
+	renewalsPerLease = 8                       // number of entries that are proposed during one lease to renew it
 )
 
 // ShareOwnership makes the controller share the ownership of its proxies while it serves. It is
@@ -75,7 +77,7 @@
 func (c *Controller) leaseTerms(config OwnershipConfig) (ownership.LeaseTerms, error) {
 	terms := ownership.LeaseTerms{Duration: config.Lease, Members: len(config.Members)}
 	if terms.Duration == 0 {
-		terms.Duration = defaultLease
+		terms.Duration = c.defaultLease()
 	}
 	terms.RenewInterval = terms.Duration / renewalsPerLease
 	if terms.RenewInterval < c.limits.tick.Microseconds() {
@@ -85,6 +87,13 @@
 	return terms, nil
 }
 
+// defaultLease returns the lease if none is configured: a change that waits for the record until the
+// end of the lease is still to reach the proxies within the drain grace.
+func (c *Controller) defaultLease() ownership.Microseconds {
+	grace := c.configuration.rules.DrainGrace - c.configuration.channel.MaxLatency
+	return min(maxDefaultLease, max(minDefaultLease, grace))
+}
+
 // newConsensusNode makes this member's consensus node, which replicates the ownership record. The
 // node of a voter also distributes the configuration.
 func (c *Controller) newConsensusNode(config OwnershipConfig, host *ownershipHost) (*consensus.Node, error) {
--- a/controller/ownership_test.go
+++ b/controller/ownership_test.go
@@ -184,3 +184,27 @@
 		}
 	})
 }
+
+func TestDefaultLeaseLeavesTimeForDrains(t *testing.T) {
+	// Guards against a default lease that is longer than a drain may wait: where the record stopped to
+	// answer, drains were told only after the grace.
+	for _, c := range []struct {
+		grace, latency int // ms
+		want           int64
+	}{{3000, 600, 1500_000}, {1500, 575, 925_000}, {1500, 1200, 800_000}} {
+		settings := strings.NewReplacer(`"stopSendingWithin":3000`, fmt.Sprintf(`"stopSendingWithin":%d`, c.grace),
+			`"pushDelayMax":600`, fmt.Sprintf(`"pushDelayMax":%d`, c.latency)).Replace(sampleSettings)
+		text := strings.Replace(string(configuration("127.0.0.1:9", listJSON(1, true))), sampleSettings, settings, 1)
+		controller, err := New(Identity{Name: "n0"}, []byte(text), NewLogger(newLogBuffer()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		terms, err := controller.leaseTerms(OwnershipConfig{})
+		if err != nil || terms.Duration != c.want {
+			t.Errorf("grace %d ms, latency %d ms: lease %d us, error %v, want %d us", c.grace, c.latency, terms.Duration, err, c.want)
+		}
+		if terms, _ := controller.leaseTerms(OwnershipConfig{Lease: 1_000_000}); terms.Duration != 1_000_000 {
+			t.Errorf("lease %d us, want the configured one", terms.Duration)
+		}
+	}
+}
--- a/controller/shared_model_test.go
+++ b/controller/shared_model_test.go
@@ -48,6 +48,7 @@
 	*rand.Rand
 	sharedFigures
 	now         int64
+	lease       int64 // lease of the members
 	members     []*modelMember
 	proxies     []*modelProxy
 	log         []ownership.Entry
@@ -118,13 +119,14 @@
 func newSharedModel(t *testing.T, seed uint64, figures sharedFigures) *sharedModel {
 	m := &sharedModel{T: t, Rand: rand.New(rand.NewPCG(seed, 10)), sharedFigures: figures, now: microsPerSecond,
 		onConnect: func(*modelMember, int) {}}
-	m.newRecord()
 	for i := range figures.members {
 		member := &modelMember{model: m, name: fmt.Sprint("n", i), told: map[int]int64{}}
 		m.members = append(m.members, member)
 		member.start()
 		member.voter = true
 	}
+	m.lease = m.members[0].loop.ownership.terms.Duration
+	m.newRecord()
 	for i := range figures.proxies {
 		m.proxies = append(m.proxies, &modelProxy{number: i, fake: newFakeProxy("read it", "write"),
 			redialAt: m.now + m.Int64N(2*microsPerSecond)})
@@ -176,7 +178,7 @@
 
 func (m *sharedModel) newRecord() {
 	m.log, m.record = nil, ownership.NewRecord()
-	m.leases = ownership.NewLeaseTracker(ownership.LeaseTerms{Duration: defaultLease, Members: m.sharedFigures.members})
+	m.leases = ownership.NewLeaseTracker(ownership.LeaseTerms{Duration: m.lease, Members: m.sharedFigures.members})
 }
 
 func (member *modelMember) available() bool {
@@ -201,7 +203,7 @@
 	switch {
 	case isMajority && (m.leader == nil || !m.leader.available() || !m.leader.voter):
 		m.leader, m.electedAt, m.leaderless = candidate, m.now+modelElection, 0
-		m.leases = ownership.NewLeaseTracker(ownership.LeaseTerms{Duration: defaultLease, Members: len(m.members)})
+		m.leases = ownership.NewLeaseTracker(ownership.LeaseTerms{Duration: m.lease, Members: len(m.members)})
 	case isMajority:
 		m.leaderless = 0
 	case m.leaderless == 0:
@@ -378,8 +380,8 @@
 		}
 		from := max(told, p.joinedAt, member.startedAt, member.frozenAt)
 		allowed := m.grace + modelSlack
-		if member.stalledAt > from-defaultLease-m.grace {
-			allowed += defaultLease + (10*microsPerSecond+m.latency)/int64(m.messages)
+		if member.stalledAt > from-m.lease-m.grace {
+			allowed += m.lease + (10*microsPerSecond+m.latency)/int64(m.messages)
 		} else {
 			m.latest = max(m.latest, m.now-from)
 		}
