ownership, balancer: comments and a name that the message pace left behind

Cause: the package comment of ownership still described the quotas of messages, and a number of tokens had no name.

Change: the comment says that messages do not depend on the record; the number is ordinaryTokens. No behaviour changes.

--- a/balancer/message_pace.go
+++ b/balancer/message_pace.go
@@ -26,8 +26,13 @@
 // Inputs are PushChannel.MaxMessages, MessageWindow and MaxLatency, and the drain grace
 // (microseconds).
 
-// burstDivisor determines the burst where the pace cannot keep the drain grace at all times.
-const burstDivisor = 2
+const (
+	// burstDivisor determines the burst where the pace cannot keep the drain grace at all times.
+	burstDivisor = 2
+	// ordinaryTokens is the number of tokens that have to be in a bucket for an ordinary message, if
+	// the bucket can hold as many.
+	ordinaryTokens = 2
+)
 
 // messagePace is the pace of the messages to each proxy. Its zero value permits any pace.
 type messagePace struct {
@@ -75,7 +80,7 @@
 // tokensFor returns the number of tokens that have to be in the bucket for a message.
 func (p messagePace) tokensFor(urgency messageUrgency) int {
 	if urgency == ordinaryMessage {
-		return min(p.burst, 2)
+		return min(p.burst, ordinaryTokens)
 	}
 	return 1
 }
--- a/ownership/doc.go
+++ b/ownership/doc.go
@@ -1,7 +1,7 @@
-// Package ownership decides which of several controllers (members) owns which proxy, which tables a
-// proxy is known to hold when its owner changes, and how many messages may still be written to the
-// proxy. The package has no I/O, no clock and no goroutines: no method is safe for concurrent use,
-// and times are those of the caller's monotonic clock.
+// Package ownership decides which of several controllers (members) owns which proxy, and which tables
+// a proxy is known to hold when its owner changes. The package has no I/O, no clock and no
+// goroutines: no method is safe for concurrent use, and times are those of the caller's monotonic
+// clock.
 //
 // # The record
 //
@@ -26,11 +26,10 @@
 //
 // A member that sees another member's claim of a proxy that it owned does not close its stream to
 // the proxy: the proxy may still be reading this stream, because a claim can arrive late.
-// Coordinator.loseProxy takes the owner quota away, so that the member may continue to write within
-// its unowned quota. A proxy that is active more than LeaseTerms.RenewInterval after the loss is
-// claimed again. A proxy that has requested fencing tokens rejects a message whose token is older
-// than the greatest token that it has seen. It accepts a message with an equal token or without a
-// token. A member writes without a token to a proxy that it granted without quorum. Messages to a
+// The member may go on writing to it. A proxy that is active more than LeaseTerms.RenewInterval after
+// the loss is claimed again. A proxy that has requested fencing tokens rejects a message whose token
+// is older than the greatest token that it has seen. It accepts a message with an equal token or
+// without a token. A member writes without a token to a proxy that it granted without quorum. Messages to a
 // proxy that was granted before keep the token of this grant, also while the member is without
 // quorum and after the proxy was claimed again. The protocol has no message for a rejection: the
 // member that wrote a rejected message is not notified.
@@ -60,11 +59,9 @@
 //
 // # Messages
 //
-// The limit on messages to a proxy within a window is divided beforehand, so that members need not
-// agree on each message: every member has LeaseTerms.UnownedQuota, and the rest is
-// divided into three shares of LeaseTerms.OwnerQuota. An owner has all of them, except one that is
-// kept for the next owner where that needs it. Once the proxy moves, later owners have what the
-// owners before them within the window cannot have used, but LeaseTerms.GuaranteedMessages at least.
+// How many messages a member may write to a proxy does not depend on the record: each member keeps a
+// pace from the time at which the proxy connected to it (package balancer), so that all members
+// together keep the limit whatever they know of each other.
 //
 // docs/shared.md describes the reasons and the alternatives.
 package ownership
